Let operators see readiness, drain a balancer, and upgrade it under load

Design: a console package translates HTTP/1.1 calls (Netty's codec) into Operations, which Node implements; a lifecycle package holds the timetable by which clients are sent away (Departure), and what the processes of a balancer share in $TMPDIR (Siblings: a locked file each, so a dead one shows whatever ended it). Both processes listen at the clients' address with SO_REUSEPORT; the old one stops listening as soon as SIGTERM finds a sibling, and every connection closes behind its next answer, where nothing can cross the close. The module is told of siblings and then subscribes to discovery at once.

Skipped: passing the listening socket between processes. It loses nothing at the door, but needs a native transport and its unpacked library in a read-only file system. Skipped too: a console thread of its own; the one loop is never blocked, and a second one would only compete for the same share of a core.

--- a/src/main/java/eiderscale/Api.java
+++ b/src/main/java/eiderscale/Api.java
@@ -119,6 +119,9 @@
 
         /** A timer set by {@link Actions#wakeAt} is due. */
         void onTimer(long now, int token);
+
+        /** So many further processes of this balancer serve beside this one: an upgrade is under way. */
+        void onOthers(long now, int others);
     }
 
     /** Actions out. */
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -95,6 +95,8 @@
     private final int mostAttempts;
     private long timer;
     private int listFailures;
+    /** Further processes of this balancer. */
+    private int others;
     /** Some answer brought a load report. */
     private boolean reportsCome;
     /** Before that a missing answer tells nothing: it may have come while this balancer did not look. */
@@ -125,8 +127,20 @@
         }
     }
 
-    /** Subscribes in this instance's turn: its rank and chance keep the instances out of step. */
+    @Override
+    public void onOthers(long now, int others) {
+        this.others = others;
+    }
+
+    /**
+     * Subscribes in this instance's turn: its rank and chance keep the instances out of step. One that takes
+     * over from another process starts alone and is held to the list's news at once, so it asks at once.
+     */
     private void askLater(long now) {
+        if (others > 0 && listFailures == 0) {
+            actions.wakeAt(now + 1, TIMER_LIST);
+            return;
+        }
         double turn = (settings.rank() + health.nextUnit()) / Math.max(1, settings.instances());
         double spread = settings.askWithin() * SUBSCRIBE_SPREAD * turn;
         actions.wakeAt(now + 1 + (long) (spread * Math.min(4, 1 + listFailures / 2)), TIMER_LIST);
--- /dev/null
+++ b/src/main/java/eiderscale/console/Answer.java
@@ -0,0 +1,33 @@
+package eiderscale.console;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+
+/** What a caller is told: a status and one word or line in JSON. {@code allow}: the method of the path, or null. */
+record Answer(HttpResponseStatus status, String text, HttpMethod allow) {
+    static Answer of(HttpResponseStatus status, String text) {
+        return new Answer(status, text, null);
+    }
+
+    /** None of the texts holds what JSON would have to escape. */
+    FullHttpResponse response() {
+        String name = status.code() < HttpResponseStatus.BAD_REQUEST.code() ? "status" : "error";
+        byte[] body = ("{\"" + name + "\":\"" + text + "\"}\n").getBytes(StandardCharsets.UTF_8);
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.wrappedBuffer(body));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        if (allow != null) {
+            response.headers().set(HttpHeaderNames.ALLOW, allow);
+        }
+        return response;
+    }
+}
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -51,7 +51,7 @@
     private long lastId;
 
     Balancer(Config config, EventLoop loop, Counters counters, Module module, Budget budget,
-             int mostConnections) {
+             int mostConnections, int others) {
         this.budget = budget;
         this.site = config.site();
         this.loop = loop;
@@ -59,6 +59,7 @@
         this.pool = new HostPool(site, loop, counters, mostConnections, this);
         this.discovery = new Discovery(config, loop, this);
         this.router = module.create(site.settings, config.seed(), this);
+        onOthers(others);
         Catalog known = config.known();
         onList(Api.ListMode.CACHED, known.members());
     }
@@ -135,6 +136,16 @@
         return "open " + open() + " ledger " + exchanges.size() + " " + pool.gauges();
     }
 
+    /** So many further processes of this balancer serve now. */
+    void onOthers(int others) {
+        post(null, () -> router.onOthers(Clock.now(), others));
+    }
+
+    /** From now on so many connections to hosts are held at most. */
+    void limit(int mostConnections) {
+        pool.limit(mostConnections);
+    }
+
     /** Closes what the pool holds idle for too long; called once in a while. */
     void sweep() {
         pool.sweep();
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -1,5 +1,6 @@
 package eiderscale.net;
 
+import eiderscale.lifecycle.Departure;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -15,9 +16,11 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.flow.FlowControlHandler;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -60,7 +63,7 @@
     private final Balancer balancer;
     private final EventLoop loop;
     private final Counters counters;
-    private final int mostClients;
+    private int mostClients;
     private final int mostSurplus;
     private final Budget budget;
     private final Set<Connection> connections = new LinkedHashSet<>();
@@ -72,7 +75,8 @@
     private final Queue<Connection> waiting = new ArrayDeque<>();
     private Channel server;
     private long unread;
-    private boolean closing;
+    /** How clients are being sent away; null while they are welcome. */
+    private Departure departure;
 
     /** {@code mostSurplus}: connections over {@code mostClients} that are kept just to be refused. */
     ClientServer(Balancer balancer, EventLoop loop, Counters counters, Budget budget, int mostClients,
@@ -88,6 +92,8 @@
     ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                // While an upgrade lasts, the old process and the new one listen here together.
+                .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .handler(new AcceptFaults())
                 .option(ChannelOption.RCVBUF_ALLOCATOR,
@@ -110,12 +116,21 @@
         return bound;
     }
 
-    /** Takes no more connections, and closes those there are as they fall idle. */
-    void close() {
-        closing = true;
+    /** Takes no more connections. */
+    void stopListening() {
         server.close();
-        for (Connection connection : List.copyOf(connections)) {
-            connection.adjust();
+    }
+
+    /** Sends clients away by a timetable; null takes them again. */
+    void depart(Departure timetable) {
+        departure = timetable;
+    }
+
+    /** From now on so many connections are held at most; idle ones make room. */
+    void limit(int most) {
+        mostClients = most;
+        while (connections.size() > mostClients && (evict(doubtful, 0) || evict(idle, 0))) {
+            // One goes at a time.
         }
     }
 
@@ -259,7 +274,11 @@
         }
 
         void checkTime(long now) {
-            if (leaving) {
+            if (departure != null && slots.isEmpty() && !leaving
+                    && now >= (halfSince == 0 ? departure.idleUntil() : departure.serveUntil())) {
+                quitting = true;
+                adjust();
+            } else if (leaving) {
                 if (now - since > FAREWELL_NS) {
                     channel.close();
                 }
@@ -345,7 +364,8 @@
                 case "mg", "ms" -> request(slot, frame);
                 case "mn" -> {
                     spoke = true;
-                    slot.answer("MN\r\n", null);
+                    slot.answer(departure != null && departure.drain() ? "SERVER_ERROR draining\r\n" : "MN\r\n",
+                            null);
                 }
                 case "quit" -> {
                     slots.remove(slot);
@@ -356,7 +376,7 @@
         }
 
         private void request(Slot slot, MetaFrame frame) {
-            if (surplus) {
+            if (surplus || departure != null && Clock.now() >= departure.serveUntil()) {
                 counters.localRefusals++;
                 quitting = true;
                 slot.answer("SERVER_ERROR busy\r\n", null);
@@ -385,6 +405,8 @@
             }
             if (wrote) {
                 channel.flush();
+                // Its client has just been answered: nothing is on the way that a close could cross.
+                quitting |= departure != null && slots.isEmpty();
             }
             adjust();
         }
@@ -394,7 +416,7 @@
             if (gone || leaving) {
                 return;
             }
-            if (slots.isEmpty() && (closing || quitting)) {
+            if (slots.isEmpty() && quitting) {
                 // Behind what is still being written: a close at once would cut a long answer short.
                 leaving = true;
                 quitting = true;
--- a/src/main/java/eiderscale/net/Config.java
+++ b/src/main/java/eiderscale/net/Config.java
@@ -6,9 +6,9 @@
 import java.nio.file.Path;
 import java.util.Map;
 
-/** What the deployment tells this balancer. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-              Site site, Catalog known) {
+/** What the deployment tells this balancer. {@code console}: where operators call, or null. */
+record Config(String name, InetSocketAddress listen, InetSocketAddress console, InetSocketAddress discovery,
+              long seed, int sockets, Site site, Catalog known) {
     private static final int DEFAULT_SOCKETS = 1024;
 
     static Config read(String path) {
@@ -28,9 +28,11 @@
         Site site = new Site(Json.get(json, "settings", Map.class));
         Map<?, ?> limits = Json.get(json, "limits", Map.class, Map.of());
         Map<?, ?> known = Json.get(json, "known", Map.class, Map.of("rev", 0, "all", true));
+        String console = Json.get(json, "console", String.class, null);
         try {
             return new Config(Json.get(json, "name", String.class, "balancer"),
                     Catalog.address(Json.get(json, "listen", String.class)),
+                    console == null ? null : Catalog.address(console),
                     Catalog.address(Json.get(json, "discovery", String.class)),
                     Long.parseUnsignedLong(Json.get(json, "seed", String.class, "0"), 16),
                     Json.get(limits, "sockets", Number.class, DEFAULT_SOCKETS).intValue(), site,
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -51,7 +51,7 @@
 
     private final Site site;
     private final Counters counters;
-    private final int mostLinks;
+    private int mostLinks;
     private final Listener listener;
     private final Bootstrap bootstrap;
     private final Map<Long, Host> hosts = new HashMap<>();
@@ -131,6 +131,14 @@
         }
     }
 
+    /** From now on so many connections are held at most; idle ones make room. */
+    void limit(int most) {
+        mostLinks = most;
+        while (links > mostLinks && evict()) {
+            // One goes at a time.
+        }
+    }
+
     /** Ends the wait for an attempt. One that was written costs its connection, as its answer may still come. */
     void abandon(Attempt attempt) {
         Link link = attempt.link;
--- a/src/main/java/eiderscale/net/LibraryLog.java
+++ b/src/main/java/eiderscale/net/LibraryLog.java
@@ -6,11 +6,12 @@
 import java.util.logging.Logger;
 
 /**
- * What libraries log, in short lines of our own. The JDK's own formatter opens a file of time zones at its first
+ * What libraries log, and our own packages outside this one, in short lines of our own. The JDK's own formatter opens a file of time zones at its first
  * line: where that line told of missing descriptors, this failed in turn and ended the event loop.
  */
 final class LibraryLog extends Handler {
     private static final int MOST_LINES = 100;
+    private static final String OWN = "eiderscale.";
     private int lines;
 
     private LibraryLog() {
@@ -26,8 +27,11 @@
 
     @Override
     public void publish(LogRecord entry) {
-        if (entry.getLevel().intValue() >= Level.WARNING.intValue() && ++lines <= MOST_LINES) {
-            Counters.log(entry.getLoggerName() + ": " + entry.getMessage() + " " + entry.getThrown());
+        String name = String.valueOf(entry.getLoggerName());
+        boolean own = name.startsWith(OWN) && entry.getLevel().intValue() >= Level.INFO.intValue();
+        if (own || entry.getLevel().intValue() >= Level.WARNING.intValue() && ++lines <= MOST_LINES) {
+            String cause = entry.getThrown() == null ? "" : " " + entry.getThrown();
+            Counters.log((own ? "" : name + ": ") + entry.getMessage() + cause);
         }
     }
 
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -1,9 +1,11 @@
 package eiderscale.net;
 
 import eiderscale.Router;
+import eiderscale.lifecycle.SharedFolder;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.nio.file.Path;
 
 /** The real balancer as a program: reads its configuration (at SIGHUP again), serves until SIGTERM, ends with 0. */
 public final class Main {
@@ -18,9 +20,11 @@
             String path = System.getenv("GW_CONFIG");
             Config config = Config.read(path);
             EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
-            Node node = loop.submit(() -> new Node(config, loop, Router::new)).get();
+            SharedFolder folder = new SharedFolder(temporary(), Long.toString(ProcessHandle.current().pid()));
+            int others = folder.others();
+            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, others)).get();
             // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop, folder), "stop"));
             loop.submit(node::start).get().sync();
             hangup.serve(() -> loop.execute(() -> node.reload(path)));
             Counters.log(config.name() + " serves on " + config.listen());
@@ -33,9 +37,17 @@
         }
     }
 
-    private static void stop(Node node, EventLoop loop) {
+    /** The folder that all processes of this balancer share, and no other balancer. */
+    private static Path temporary() {
+        String named = System.getenv("TMPDIR");
+        return Path.of(named == null || named.isEmpty() ? System.getProperty("java.io.tmpdir") : named);
+    }
+
+    private static void stop(Node node, EventLoop loop, SharedFolder folder) {
         try {
-            loop.submit(node::stop).get().await();
+            boolean replaced = folder.others() > 0;
+            loop.submit(() -> node.stop(replaced)).get().await();
+            folder.close();
         } catch (Exception e) {
             Counters.log("stopped short: " + e);
         }
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -1,21 +1,28 @@
 package eiderscale.net;
 
 import eiderscale.Api;
+import eiderscale.console.ConsoleServer;
+import eiderscale.console.Operations;
+import eiderscale.lifecycle.Departure;
+import eiderscale.lifecycle.SharedFolder;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** One balancer, put together: everything it has lives on one event loop. */
-final class Node {
+/** One balancer, put together: everything it has lives on one event loop, but for the looks at its shared folder. */
+final class Node implements Operations {
     /** After a stop is asked for, clients go on coming for a while; they are served. */
     private static final long ACCEPT_ON_MS = 600;
     private static final long LOOK_MS = 10;
     private static final long SWEEP_MS = 250;
     private static final int SWEEPS_PER_PRINT = 40;
-    /** Descriptors kept for the JVM itself (11 when idle), discovery and the listening socket, and for accepts. */
+    /** An operator's call must be whole within this time. */
+    private static final long CALL_MS = 2_000;
+    /** Descriptors kept for the JVM itself (11 when idle), discovery, the console, the listening sockets and accepts. */
     private static final int RESERVE = 48;
     /**
      * Clients hold a third of the descriptors at most for requests. At just that many, each connection that
@@ -29,30 +36,84 @@
     /** Bytes of values that may be held together; the heap has room for a few times that. */
     private static final long MOST_HELD = 8L * 1024 * 1024;
 
+    private enum Phase { STARTING, SERVING, DRAINING, STOPPING }
+
     private final Config config;
     private final EventLoop loop;
+    private final SharedFolder folder;
     private final Counters counters = new Counters();
     private final Budget budget = new Budget(MOST_HELD);
     private final Balancer balancer;
     private final ClientServer server;
+    private Phase phase = Phase.STARTING;
+    /** Further processes of this balancer: descriptors are shared with them. */
+    private int others;
     private int sweeps;
 
-    /** To be called on the loop, as all of this class. */
-    Node(Config config, EventLoop loop, Balancer.Module module) {
+    /** To be called on the loop, as all of this class. {@code others}: processes of this balancer that serve already. */
+    Node(Config config, EventLoop loop, Balancer.Module module, SharedFolder folder, int others) {
         this.config = config;
         this.loop = loop;
+        this.folder = folder;
         int all = config.sockets();
-        int clients = Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
         int surplus = Math.min(MOST_SURPLUS, all / SURPLUS_PART);
-        int links = Math.max(1, all - Math.min(RESERVE, all / 4) - clients - surplus);
-        balancer = new Balancer(config, loop, counters, module, budget, links);
-        server = new ClientServer(balancer, loop, counters, budget, clients, surplus);
+        this.others = others;
+        balancer = new Balancer(config, loop, counters, module, budget, mostLinks(1 + others), others);
+        server = new ClientServer(balancer, loop, counters, budget, mostClients(1 + others), surplus);
+    }
+
+    private int mostClients(int processes) {
+        int all = config.sockets() / processes;
+        return Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
     }
 
-    /** Begins to listen: from then on it is ready to serve. */
-    ChannelFuture start() {
+    private int mostLinks(int processes) {
+        int all = config.sockets() / processes;
+        return Math.max(1, all - Math.min(RESERVE, all / 4) - mostClients(processes)
+                - Math.min(MOST_SURPLUS, all / SURPLUS_PART));
+    }
+
+    /** Begins to listen, to operators first: from then on it is ready to serve. Done with the clients' channel. */
+    Future<ChannelFuture> start() {
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        return server.listen(config.listen());
+        Promise<ChannelFuture> started = loop.newPromise();
+        if (config.console() == null) {
+            listen(started);
+        } else {
+            new ConsoleServer(loop, this, CALL_MS).listen(config.console()).addListener(bound -> {
+                if (bound.isSuccess()) {
+                    listen(started);
+                } else {
+                    started.setFailure(bound.cause());
+                }
+            });
+        }
+        return started;
+    }
+
+    private void listen(Promise<ChannelFuture> started) {
+        ChannelFuture clients = server.listen(config.listen());
+        clients.addListener(bound -> {
+            if (bound.isSuccess()) {
+                phase = Phase.SERVING;
+                folder.serve(count -> loop.execute(() -> share(count)));
+                started.setSuccess(clients);
+            } else {
+                started.setFailure(bound.cause());
+            }
+        });
+    }
+
+    /** Descriptors are counted over all processes of this balancer. */
+    private void share(int count) {
+        if (count != others) {
+            Counters.log(count > others ? "another process of this balancer serves: descriptors are shared"
+                    : "the other process of this balancer has ended");
+            others = count;
+            balancer.onOthers(others);
+            server.limit(mostClients(1 + others));
+            balancer.limit(mostLinks(1 + others));
+        }
     }
 
     private void sweep() {
@@ -85,16 +146,47 @@
         }
     }
 
-    /** Stops in order; the future is done when every request has been answered and every client is gone. */
-    Future<Void> stop() {
+    @Override
+    public boolean ready() {
+        return phase == Phase.SERVING;
+    }
+
+    @Override
+    public void startDrain() {
+        if (phase == Phase.SERVING) {
+            Counters.log("a drain begins: clients are sent away");
+            phase = Phase.DRAINING;
+            server.depart(Departure.drain(Clock.now()));
+        }
+    }
+
+    @Override
+    public void stopDrain() {
+        if (phase == Phase.DRAINING) {
+            Counters.log("the drain is over: clients are taken again");
+            phase = Phase.SERVING;
+            server.depart(null);
+        }
+    }
+
+    /**
+     * Stops in order; the future is done when every request has been answered and every client is gone.
+     * {@code replaced}: another process of this balancer listens, so that new clients need not be waited for.
+     */
+    Future<Void> stop(boolean replaced) {
+        Counters.log(replaced ? "stops: another process has taken over" : "stops");
+        phase = Phase.STOPPING;
         Promise<Void> done = loop.newPromise();
         long longest = config.site().settings.classes().stream().mapToLong(Api.RequestClass::deadline).max()
                 .orElse(0);
-        long end = Clock.now() + ACCEPT_ON_MS * Clock.MILLISECOND + longest;
+        Departure departure = Departure.end(Clock.now(), longest);
+        server.depart(departure);
+        long end = departure.serveUntil() + longest;
+        // What has already been accepted by the system is read first: it would be reset with the socket.
         loop.schedule(() -> {
-            server.close();
+            server.stopListening();
             await(done, end);
-        }, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+        }, replaced ? LOOK_MS : ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
         return done;
     }
 
--- a/src/main/java/eiderscale/net/Rehearsal.java
+++ b/src/main/java/eiderscale/net/Rehearsal.java
@@ -1,6 +1,7 @@
 package eiderscale.net;
 
 import eiderscale.Router;
+import eiderscale.lifecycle.SharedFolder;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.BufferedReader;
@@ -12,6 +13,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 
 /**
  * Plays a balancer's life once, on loopback, with a host and a discovery of its own. The build runs it to
@@ -22,7 +25,7 @@
     private static final int READS = 50;
     private static final int LIMIT_MS = 20_000;
     private static final String CONFIG = """
-            {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:%1$d","seed":"1",
+            {"name":"rehearsal","listen":"127.0.0.1:0","console":"127.0.0.1:0","discovery":"127.0.0.1:%1$d","seed":"1",
              "known":{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:%2$d","az":"a",
                "model":"m","pod_group":1,"state":"Ready","capacity_hint":1.0,"boot_ms":0}]},
              "settings":{"categories":[
@@ -53,18 +56,21 @@
     static int play() throws Exception {
         NioEventLoopGroup group = new NioEventLoopGroup(1);
         EventLoop loop = group.next();
-        try (ServerSocket discovery = peer(Rehearsal::list); ServerSocket host = peer(Rehearsal::serve)) {
+        Path shared = Files.createTempDirectory("rehearsal");
+        try (ServerSocket discovery = peer(Rehearsal::list); ServerSocket host = peer(Rehearsal::serve);
+                SharedFolder folder = new SharedFolder(shared, "rehearsal")) {
             byte[] json = String.format(CONFIG, discovery.getLocalPort(), host.getLocalPort())
                     .getBytes(StandardCharsets.UTF_8);
             Config config = Config.parse(Json.parse(json));
-            Node node = loop.submit(() -> new Node(config, loop, Router::new)).get();
-            InetSocketAddress address = (InetSocketAddress) loop.submit(node::start).get().sync().channel()
+            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, folder.others())).get();
+            InetSocketAddress address = (InetSocketAddress) loop.submit(node::start).get().sync().getNow().channel()
                     .localAddress();
             int answers = ask(address);
-            loop.submit(node::stop).get().sync();
+            loop.submit(() -> node.stop(false)).get().sync();
             return answers;
         } finally {
             group.shutdownGracefully().sync();
+            Files.deleteIfExists(shared);
         }
     }
 
--- a/src/test/java/eiderscale/RouterTest.java
+++ b/src/test/java/eiderscale/RouterTest.java
@@ -351,6 +351,21 @@
         }
     }
 
+    /** The list's news binds one that takes over at once; it once waited its turn and sent to hosts that drained. */
+    @Test
+    void oneThatTakesOverSubscribesAtOnce() {
+        Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+        builder.subscribe = true;
+        builder.instances = 4;
+        builder.rank = 3;
+        Bed bed = new Bed(builder);
+        bed.router.onOthers(bed.now, 1);
+        bed.router.onList(bed.now, Api.ListMode.CACHED, List.of(Bed.server(1)));
+        assertTrue(bed.wakes.get(0).moment() - bed.now <= Bed.MS);
+        bed.router.onList(bed.now, Api.ListMode.FAILED, List.of());
+        assertTrue(bed.wakes.get(1).moment() - bed.now > Bed.MS, "a failed call is not repeated at once");
+    }
+
     @Test
     void aStartedStreamBelongsToTheClient() {
         Bed bed = bed().servers(4);
--- a/src/test/java/eiderscale/net/Rig.java
+++ b/src/test/java/eiderscale/net/Rig.java
@@ -1,6 +1,7 @@
 package eiderscale.net;
 
 import eiderscale.Router;
+import eiderscale.lifecycle.SharedFolder;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
@@ -8,9 +9,12 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.stream.Stream;
 
 /** A balancer on an ephemeral port, with the hosts and settings that a test gives it. */
 final class Rig implements AutoCloseable {
@@ -47,11 +51,16 @@
     long graceMs = 1_000;
     int sockets = 1024;
     String discovery = "127.0.0.1:1";
+    /** Where operators call; nowhere if null. */
+    String console;
     Balancer.Module module = Router::new;
     Node node;
     EventLoop loop;
     private NioEventLoopGroup group;
+    int others;
     private InetSocketAddress address;
+    private SharedFolder folder;
+    private Path temporary;
 
     Rig(FakeHost... hosts) {
         this.hosts.addAll(List.of(hosts));
@@ -72,7 +81,7 @@
         for (FakeHost host : hosts) {
             targets.add(target("s-" + targets.size(), host.endpoint(), "Ready"));
         }
-        return "{\"name\":\"n1\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery
+        return "{\"name\":\"n1\",\"listen\":\"" + listen + "\"," + (console == null ? "" : "\"console\":\"" + console + "\",") + "\"discovery\":\"" + discovery
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
                 + sockets + "},\"known\":{\"rev\":7,\"all\":true,\"targets\":[" + String.join(",", targets)
                 + "]},\"settings\":" + settings() + "}";
@@ -86,8 +95,10 @@
         group = new NioEventLoopGroup(1);
         loop = group.next();
         Config config = Config.parse(Json.parse(config("127.0.0.1:0").getBytes(StandardCharsets.UTF_8)));
-        node = loop.submit(() -> new Node(config, loop, module)).get();
-        address = (InetSocketAddress) loop.submit(node::start).get().sync().channel().localAddress();
+        temporary = Files.createTempDirectory("rig");
+        folder = new SharedFolder(temporary, "rig");
+        node = loop.submit(() -> new Node(config, loop, module, folder, others)).get();
+        address = (InetSocketAddress) loop.submit(node::start).get().sync().getNow().channel().localAddress();
         return this;
     }
 
@@ -111,5 +122,14 @@
         for (FakeHost host : hosts) {
             host.close();
         }
+        if (folder != null) {
+            folder.close();
+            try (Stream<Path> files = Files.list(temporary)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+            Files.delete(temporary);
+        }
     }
 }
--- a/src/test/java/eiderscale/net/Scripted.java
+++ b/src/test/java/eiderscale/net/Scripted.java
@@ -34,4 +34,8 @@
     @Override
     public void onTimer(long now, int token) {
     }
+
+    @Override
+    public void onOthers(long now, int others) {
+    }
 }
--- a/src/test/java/eiderscale/net/StopTest.java
+++ b/src/test/java/eiderscale/net/StopTest.java
@@ -48,7 +48,7 @@
             assertEquals("MN", idle.ask("mn"));
             busy.write("mg 1 v Olong Pc=read,t=acme,d=9000\r\n");
             host[0].command();
-            Future<?> stopped = rig.loop.submit(rig.node::stop).get();
+            Future<?> stopped = rig.loop.submit(() -> rig.node.stop(false)).get();
             try (Peer late = rig.client()) {
                 assertEquals("VA 65536 O1", late.ask(Rig.READ), "clients still come for a while");
                 late.data(value.length());
@@ -65,10 +65,15 @@
     }
 
     private Process start(String config) throws IOException {
+        return start(config, folder);
+    }
+
+    private static Process start(String config, Path shared) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-cp", System.getProperty("java.class.path"),
                 "eiderscale.net.Main");
         builder.environment().remove("GW_CONFIG");
+        builder.environment().put("TMPDIR", shared.toString());
         if (config != null) {
             builder.environment().put("GW_CONFIG", config);
         }
@@ -88,7 +93,7 @@
         }
     }
 
-    private static int freePort() throws IOException {
+    static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
         }
@@ -184,6 +189,44 @@
         }
     }
 
+    /** The new process serves at the same address before the old one ends, and nobody is turned away meanwhile. */
+    @Test
+    void aSecondProcessTakesOverWithoutALoss() throws Exception {
+        try (Rig rig = new Rig(FakeHost.serving())) {
+            int port = freePort();
+            Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:" + port));
+            Path shared = Files.createDirectory(folder.resolve("shared"));
+            Process old = start(config.toString(), shared);
+            try {
+                BufferedReader oldLog = log(old);
+                awaitLine(oldLog, "serves on");
+                Process fresh = start(config.toString(), shared);
+                try {
+                    awaitLine(log(fresh), "serves on");
+                    awaitLine(oldLog, "another process of this balancer serves");
+                    old.destroy();
+                    while (old.isAlive()) {
+                        String answer = askOnce(port);
+                        // What the old socket held when it closed is asked again, as clients do.
+                        assertEquals("HD O2 c77", answer == null ? askOnce(port) : answer);
+                    }
+                    assertEquals(0, exit(old));
+                    fresh.destroy();
+                } finally {
+                    assertEquals(0, exit(fresh));
+                }
+            } finally {
+                exit(old);
+            }
+        }
+    }
+
+    private static String askOnce(int port) throws IOException {
+        try (Peer client = new Peer(new Socket(InetAddress.getLoopbackAddress(), port))) {
+            return client.ask(Rig.COPY);
+        }
+    }
+
     private static void hangUp(Process process) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
     }
