Let operators take a template cache out of use and put it back

Design: the holds are one JSON file in $TMPDIR, changed under a lock and replaced whole (HoldStore). Every process of the balancer reads it ten times a second on the folder's own thread, so a hold reaches both halves of an upgrade well within the drain rule and outlasts either. The yes is given once it is kept. The module owns what a hold means: a held host is no candidate whatever the list says, and one that is let go warms up as though just started, unless the list has told of a start since. The pool stops what is still connecting.

Skipped: sending holds from process to process. A message can be missed by a process that only starts; the file cannot. Skipped too: letting a host back in warm. Operators restart what they take out, and the list tells of that late.

--- a/src/main/java/eiderscale/Api.java
+++ b/src/main/java/eiderscale/Api.java
@@ -1,6 +1,7 @@
 package eiderscale;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * The interface of the decision module: what goes in (settings and events), what comes out (actions).
@@ -120,6 +121,12 @@
         /** A timer set by {@link Actions#wakeAt} is due. */
         void onTimer(long now, int token);
 
+        /**
+         * Operators hold these servers out of use, all of them and no others, whatever the list says. One
+         * that is let go may have been restarted meanwhile.
+         */
+        void onHolds(long now, Set<Long> servers);
+
         /** So many further processes of this balancer serve beside this one: an upgrade is under way. */
         void onOthers(long now, int others);
     }
--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -55,6 +55,8 @@
     int cacheCount;
     final List<Host> origins = new ArrayList<>();
     private final Map<Long, Host> known = new LinkedHashMap<>();
+    /** Hosts that operators hold out of use, and since when; listed or not. */
+    private final Map<Long, Long> held = new HashMap<>();
     private final Settings settings;
     private long random;
     private double totalWeight;
@@ -106,6 +108,33 @@
         rebuild();
     }
 
+    /** A held host counts as draining until it is let go, whatever the list says of it meanwhile. */
+    void onHolds(long now, Set<Long> servers) {
+        for (Host host : known.values()) {
+            Long since = servers.contains(host.id) ? null : held.get(host.id);
+            if (since != null) {
+                release(now, host, since);
+            }
+        }
+        held.keySet().retainAll(servers);
+        servers.forEach(id -> held.putIfAbsent(id, now));
+        rebuild();
+    }
+
+    /**
+     * Operators restart what they hold, and the list tells of it late: unless it has told of a start since,
+     * the host counts as started just now. Guards against the full load on a cold host. Harm: one that was
+     * not restarted warms up for nothing.
+     */
+    private void release(long now, Host host, long since) {
+        if (host.startedAt < since) {
+            host.coldSince = now;
+        }
+        host.tokens = nextUnit();
+        host.filledAt = now;
+        close(host);
+    }
+
     private void rebuild() {
         known.values().removeIf(host -> host.state == State.GONE && host.inFlight == 0);
         caches = new Host[known.size()];
@@ -113,9 +142,10 @@
         totalWeight = 0;
         origins.clear();
         for (Host host : known.values()) {
-            if (host.state == State.READY && isOrigin(host)) {
+            boolean usable = host.state == State.READY && !held.containsKey(host.id);
+            if (usable && isOrigin(host)) {
                 origins.add(host);
-            } else if (host.state == State.READY) {
+            } else if (usable) {
                 caches[cacheCount++] = host;
                 totalWeight += host.weight;
             }
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -127,6 +127,11 @@
         }
     }
 
+    @Override
+    public void onHolds(long now, Set<Long> servers) {
+        health.onHolds(now, servers);
+    }
+
     @Override
     public void onOthers(long now, int others) {
         this.others = others;
--- a/src/main/java/eiderscale/console/Calls.java
+++ b/src/main/java/eiderscale/console/Calls.java
@@ -1,5 +1,6 @@
 package eiderscale.console;
 
+import com.fasterxml.jackson.jr.ob.JSON;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -7,6 +8,10 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 /** Translates calls into {@link Operations} and what comes of them into answers; it decides nothing. */
 final class Calls {
@@ -27,7 +32,8 @@
         String path = new QueryStringDecoder(request.uri()).rawPath();
         HttpMethod method = switch (path) {
             case "/ops/readiness" -> HttpMethod.GET;
-            case "/ops/drain/start", "/ops/drain/stop" -> HttpMethod.POST;
+            case "/ops/drain/start", "/ops/drain/stop", "/ops/template-caches/down", "/ops/template-caches/up" ->
+                    HttpMethod.POST;
             default -> null;
         };
         if (method == null) {
@@ -43,13 +49,37 @@
                 operations.startDrain();
                 yield done(Answer.of(HttpResponseStatus.OK, "draining"));
             }
-            default -> {
+            case "/ops/drain/stop" -> {
                 operations.stopDrain();
                 yield done(Answer.of(HttpResponseStatus.OK, "serving"));
             }
+            default -> hold(request, path.endsWith("/down"));
         };
     }
 
+    private Future<Answer> hold(FullHttpRequest request, boolean out) {
+        Object body;
+        try {
+            body = JSON.std.anyFrom(request.content().toString(StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            return done(Answer.of(HttpResponseStatus.BAD_REQUEST, "the body is no JSON"));
+        }
+        if (!(body instanceof Map<?, ?> call && call.get("id") instanceof String id) || id.isEmpty()) {
+            return done(Answer.of(HttpResponseStatus.BAD_REQUEST, "the body has no id"));
+        }
+        Promise<Answer> answer = loop.newPromise();
+        operations.hold(id, out).addListener((Future<Boolean> done) -> {
+            if (!done.isSuccess()) {
+                answer.setFailure(done.cause());
+            } else if (!done.getNow()) {
+                answer.setSuccess(Answer.of(HttpResponseStatus.NOT_FOUND, "nobody has this id"));
+            } else {
+                answer.setSuccess(Answer.of(HttpResponseStatus.OK, out ? "down" : "up"));
+            }
+        });
+        return answer;
+    }
+
     private Future<Answer> done(Answer answer) {
         return loop.newSucceededFuture(answer);
     }
--- a/src/main/java/eiderscale/console/Operations.java
+++ b/src/main/java/eiderscale/console/Operations.java
@@ -1,5 +1,7 @@
 package eiderscale.console;
 
+import io.netty.util.concurrent.Future;
+
 /** What operators may ask of a balancer. Calls come on its event loop; repeating one is harmless. */
 public interface Operations {
     /** Whether this process is ready to serve. */
@@ -10,4 +12,7 @@
 
     /** Takes clients again. */
     void stopDrain();
+
+    /** Holds a server out of use, or lets it be used again: done with false for an id that nobody has. */
+    Future<Boolean> hold(String id, boolean out);
 }
--- /dev/null
+++ b/src/main/java/eiderscale/lifecycle/HoldStore.java
@@ -0,0 +1,84 @@
+package eiderscale.lifecycle;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.logging.Logger;
+
+/**
+ * The ids that operators hold out of use, in one small file that outlasts the process. Every process of the balancer
+ * may change it, one at a time, and replaces it whole, so that no reader finds half of it. Waits for files.
+ */
+final class HoldStore {
+    private static final Logger LOG = Logger.getLogger(HoldStore.class.getName());
+    private static final String NAME = "holds";
+    /** A longer file is none of ours. */
+    private static final long MOST_BYTES = 1024 * 1024;
+
+    private final Path file;
+    private final Path lock;
+    private final Path draft;
+    /** What was read or written last: it stands while the file cannot be read. */
+    private Set<String> last = Set.of();
+    private boolean unreadable;
+
+    HoldStore(Path folder) {
+        file = folder.resolve(NAME + ".json");
+        lock = folder.resolve(NAME + ".lock");
+        draft = folder.resolve(NAME + ".draft");
+    }
+
+    /** The ids held; those known last if the file is torn or somebody else's. */
+    Set<String> read() {
+        try {
+            last = parse();
+            unreadable = false;
+        } catch (NoSuchFileException e) {
+            last = Set.of();
+        } catch (IOException | RuntimeException e) {
+            if (!unreadable) {
+                LOG.warning(file + " cannot be read, the holds known so far stay: " + e.getMessage());
+            }
+            unreadable = true;
+        }
+        return last;
+    }
+
+    private Set<String> parse() throws IOException {
+        if (Files.size(file) > MOST_BYTES) {
+            throw new IOException("it is too long");
+        }
+        Object json = JSON.std.anyFrom(Files.readString(file, StandardCharsets.UTF_8));
+        if (!(json instanceof Map<?, ?> object && object.get(NAME) instanceof List<?> ids)
+                || !ids.stream().allMatch(String.class::isInstance)) {
+            throw new IOException("it holds no list of ids");
+        }
+        Set<String> read = new TreeSet<>();
+        ids.forEach(id -> read.add((String) id));
+        return Set.copyOf(read);
+    }
+
+    /** Holds an id or lets it go, and returns all that are held then. */
+    Set<String> change(String id, boolean out) throws IOException {
+        try (FileChannel guard = FileChannel.open(lock, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            guard.lock();
+            Set<String> ids = new TreeSet<>(read());
+            if (out ? ids.add(id) : ids.remove(id)) {
+                Files.writeString(draft, JSON.std.asString(Map.of(NAME, ids)), StandardCharsets.UTF_8);
+                Files.move(draft, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            }
+            last = Set.copyOf(ids);
+            return last;
+        }
+    }
+}
--- a/src/main/java/eiderscale/lifecycle/SharedFolder.java
+++ b/src/main/java/eiderscale/lifecycle/SharedFolder.java
@@ -2,27 +2,37 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Set;
+import java.util.concurrent.Callable;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
- * What the processes of one balancer share through {@code $TMPDIR} while an upgrade lasts. It is looked at on a
- * thread of its own: an event loop must not wait for files.
+ * What the processes of one balancer share through {@code $TMPDIR}: the operators' holds, and while an upgrade lasts,
+ * that there are two of them. It is looked at on a thread of its own: an event loop must not wait for files.
  */
 public final class SharedFolder implements AutoCloseable {
+    /** What a look showed: the ids held, and the further processes of this balancer that serve now. */
+    public record Look(Set<String> holds, int others) {
+    }
+
     /** Hears on the folder's thread what it shows; every look is told, changed or not. */
     public interface Listener {
-        /** {@code others}: further processes of this balancer that serve now. */
-        void onLook(int others);
+        /** In the order of the looks and of the changes. */
+        void onLook(Look look);
     }
 
     private static final Logger LOG = Logger.getLogger(SharedFolder.class.getName());
+    /** Far below the time within which another process's hold must be heeded. */
     private static final long LOOK_MS = 100;
+    private static final long CLOSE_MS = 500;
 
     private final Siblings siblings;
+    private final HoldStore holds;
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread fresh = new Thread(task, "folder");
         fresh.setDaemon(true);
@@ -32,31 +42,50 @@
     /** {@code name} is this process's own among those that share the folder. */
     public SharedFolder(Path folder, String name) {
         siblings = new Siblings(folder, name);
+        holds = new HoldStore(folder);
+    }
+
+    /** What is there now; waits for it. */
+    public Look look() throws Exception {
+        Callable<Look> look = () -> new Look(holds.read(), siblings.others());
+        return thread.submit(look).get();
     }
 
     /** Says that this process serves, and looks from now on a few times a second. */
     public void serve(Listener listener) {
         thread.execute(siblings::announce);
-        thread.scheduleWithFixedDelay(() -> look(listener), 0, LOOK_MS, TimeUnit.MILLISECONDS);
+        thread.scheduleWithFixedDelay(() -> tell(listener), 0, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void look(Listener listener) {
+    private void tell(Listener listener) {
         try {
-            listener.onLook(siblings.others());
+            listener.onLook(new Look(holds.read(), siblings.others()));
         } catch (RuntimeException e) {
             // An exception would end the looks for good.
             LOG.log(Level.WARNING, "a look at the shared folder failed", e);
         }
     }
 
-    /** How many other processes of this balancer serve now; waits for files. */
-    public int others() {
-        return siblings.others();
+    /** Holds an id or lets it go; {@code done} hears on the folder's thread what is held then, or why it failed. */
+    public void hold(String id, boolean out, BiConsumer<Set<String>, Exception> done) {
+        thread.execute(() -> {
+            try {
+                done.accept(holds.change(id, out), null);
+            } catch (IOException | RuntimeException e) {
+                done.accept(null, e);
+            }
+        });
     }
 
     @Override
     public void close() throws IOException {
-        thread.shutdownNow();
+        // Not shutdownNow: an interrupt would close the files that a look has open.
+        thread.shutdown();
+        try {
+            thread.awaitTermination(CLOSE_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         siblings.close();
     }
 }
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -2,6 +2,7 @@
 
 import eiderscale.Api;
 import eiderscale.Api.Reason;
+import eiderscale.lifecycle.SharedFolder;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -51,7 +52,7 @@
     private long lastId;
 
     Balancer(Config config, EventLoop loop, Counters counters, Module module, Budget budget,
-             int mostConnections, int others) {
+             int mostConnections, SharedFolder.Look shared) {
         this.budget = budget;
         this.site = config.site();
         this.loop = loop;
@@ -59,7 +60,8 @@
         this.pool = new HostPool(site, loop, counters, mostConnections, this);
         this.discovery = new Discovery(config, loop, this);
         this.router = module.create(site.settings, config.seed(), this);
-        onOthers(others);
+        onOthers(shared.others());
+        onHolds(shared.holds());
         Catalog known = config.known();
         onList(Api.ListMode.CACHED, known.members());
     }
@@ -136,6 +138,19 @@
         return "open " + open() + " ledger " + exchanges.size() + " " + pool.gauges();
     }
 
+    /** Operators hold these servers out of use, by the names that the list has for them. */
+    void onHolds(Set<String> names) {
+        Set<Long> servers = new HashSet<>();
+        names.forEach(name -> servers.add(Catalog.hash(name)));
+        pool.hold(servers);
+        post(null, () -> router.onHolds(Clock.now(), servers));
+    }
+
+    /** Whether the list names a server so. */
+    boolean lists(String name) {
+        return pool.lists(Catalog.hash(name));
+    }
+
     /** So many further processes of this balancer serve now. */
     void onOthers(int others) {
         post(null, () -> router.onOthers(Clock.now(), others));
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -43,6 +43,8 @@
     private static final class Host {
         InetSocketAddress endpoint;
         boolean gone;
+        /** The list's word. */
+        boolean listedReady;
         /** No send may start from then on. */
         long sendUntil = NEVER;
         int links;
@@ -59,6 +61,8 @@
     private final Set<Link> idle = new LinkedHashSet<>();
     /** Each connection holds one value at most, so their number bounds this. */
     private final Budget budget = new Budget(Long.MAX_VALUE);
+    /** Hosts that operators hold out of use. */
+    private Set<Long> held = Set.of();
     private int links;
 
     HostPool(Site site, EventLoop loop, Counters counters, int mostLinks, Listener listener) {
@@ -87,20 +91,39 @@
                 host.endpoint = member.endpoint();
             }
             host.gone = member.server().state() == Api.State.GONE;
-            if (member.server().state() == Api.State.READY) {
-                host.sendUntil = NEVER;
-            } else {
-                leave(host, now);
-            }
+            host.listedReady = member.server().state() == Api.State.READY;
+            allow(host, host.listedReady && !held.contains(member.server().id()), now);
         }
         if (mode != Api.ListMode.DELTA) {
             for (Host host : unnamed) {
                 host.gone = true;
-                leave(host, now);
+                host.listedReady = false;
+                allow(host, false, now);
             }
         }
     }
 
+    /** Operators hold these hosts out of use, all of them and no others. */
+    void hold(Set<Long> servers) {
+        held = servers;
+        long now = Clock.now();
+        hosts.forEach((id, host) -> allow(host, host.listedReady && !held.contains(id), now));
+    }
+
+    /** Whether the list names the host. */
+    boolean lists(long server) {
+        Host host = hosts.get(server);
+        return host != null && !host.gone;
+    }
+
+    private void allow(Host host, boolean use, long now) {
+        if (use) {
+            host.sendUntil = NEVER;
+        } else {
+            leave(host, now);
+        }
+    }
+
     private void leave(Host host, long now) {
         host.sendUntil = Math.min(host.sendUntil, now + Math.max(0, site.settings.drainGrace() - GRACE_MARGIN));
         closeIdle(host);
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -21,8 +21,8 @@
             Config config = Config.read(path);
             EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
             SharedFolder folder = new SharedFolder(temporary(), Long.toString(ProcessHandle.current().pid()));
-            int others = folder.others();
-            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, others)).get();
+            SharedFolder.Look shared = folder.look();
+            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, shared)).get();
             // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop, folder), "stop"));
             loop.submit(node::start).get().sync();
@@ -45,7 +45,7 @@
 
     private static void stop(Node node, EventLoop loop, SharedFolder folder) {
         try {
-            boolean replaced = folder.others() > 0;
+            boolean replaced = folder.look().others() > 0;
             loop.submit(() -> node.stop(replaced)).get().await();
             folder.close();
         } catch (Exception e) {
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -9,8 +9,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
-import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** One balancer, put together: everything it has lives on one event loop, but for the looks at its shared folder. */
@@ -48,17 +48,21 @@
     private Phase phase = Phase.STARTING;
     /** Further processes of this balancer: descriptors are shared with them. */
     private int others;
+    /** What operators hold out of use. */
+    private Set<String> holds;
     private int sweeps;
 
-    /** To be called on the loop, as all of this class. {@code others}: processes of this balancer that serve already. */
-    Node(Config config, EventLoop loop, Balancer.Module module, SharedFolder folder, int others) {
+    /** To be called on the loop, as all of this class. {@code shared}: what the folder showed. */
+    Node(Config config, EventLoop loop, Balancer.Module module, SharedFolder folder,
+         SharedFolder.Look shared) {
         this.config = config;
         this.loop = loop;
         this.folder = folder;
         int all = config.sockets();
         int surplus = Math.min(MOST_SURPLUS, all / SURPLUS_PART);
-        this.others = others;
-        balancer = new Balancer(config, loop, counters, module, budget, mostLinks(1 + others), others);
+        others = shared.others();
+        holds = shared.holds();
+        balancer = new Balancer(config, loop, counters, module, budget, mostLinks(1 + others), shared);
         server = new ClientServer(balancer, loop, counters, budget, mostClients(1 + others), surplus);
     }
 
@@ -96,7 +100,7 @@
         clients.addListener(bound -> {
             if (bound.isSuccess()) {
                 phase = Phase.SERVING;
-                folder.serve(count -> loop.execute(() -> share(count)));
+                folder.serve(look -> loop.execute(() -> share(look)));
                 started.setSuccess(clients);
             } else {
                 started.setFailure(bound.cause());
@@ -104,8 +108,10 @@
         });
     }
 
-    /** Descriptors are counted over all processes of this balancer. */
-    private void share(int count) {
+    private void share(SharedFolder.Look look) {
+        keep(look.holds());
+        int count = look.others();
+        // Descriptors are counted over all processes of this balancer.
         if (count != others) {
             Counters.log(count > others ? "another process of this balancer serves: descriptors are shared"
                     : "the other process of this balancer has ended");
@@ -116,6 +122,15 @@
         }
     }
 
+    /** What operators hold, as kept for all processes of this balancer. */
+    private void keep(Set<String> held) {
+        if (!held.equals(holds)) {
+            Counters.log("operators hold out of use: " + (held.isEmpty() ? "nothing" : String.join(" ", held)));
+            holds = held;
+            balancer.onHolds(held);
+        }
+    }
+
     private void sweep() {
         balancer.sweep();
         server.sweep();
@@ -169,6 +184,24 @@
         }
     }
 
+    @Override
+    public Future<Boolean> hold(String id, boolean out) {
+        if (!balancer.lists(id) && !holds.contains(id)) {
+            return loop.newSucceededFuture(false);
+        }
+        Promise<Boolean> done = loop.newPromise();
+        // The yes comes once it is kept: a new process that starts right behind it must find it.
+        folder.hold(id, out, (held, failure) -> loop.execute(() -> {
+            if (failure == null) {
+                keep(held);
+                done.setSuccess(true);
+            } else {
+                done.setFailure(failure);
+            }
+        }));
+        return done;
+    }
+
     /**
      * Stops in order; the future is done when every request has been answered and every client is gone.
      * {@code replaced}: another process of this balancer listens, so that new clients need not be waited for.
--- a/src/main/java/eiderscale/net/Rehearsal.java
+++ b/src/main/java/eiderscale/net/Rehearsal.java
@@ -62,7 +62,8 @@
             byte[] json = String.format(CONFIG, discovery.getLocalPort(), host.getLocalPort())
                     .getBytes(StandardCharsets.UTF_8);
             Config config = Config.parse(Json.parse(json));
-            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, folder.others())).get();
+            SharedFolder.Look look = folder.look();
+            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, look)).get();
             InetSocketAddress address = (InetSocketAddress) loop.submit(node::start).get().sync().getNow().channel()
                     .localAddress();
             int answers = ask(address);
--- a/src/test/java/eiderscale/RulesTest.java
+++ b/src/test/java/eiderscale/RulesTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -248,4 +249,40 @@
         }
         return bed.sends;
     }
+
+    /** The third rule: a host that operators hold counts as draining, whatever the list says of it. */
+    @Test
+    void aHeldHostGetsNothingNew() {
+        Bed bed = new Bed(new Bed.SettingsBuilder()).servers(3);
+        bed.router.onHolds(bed.now, Set.of(1L, 77L));
+        bed.router.onList(bed.now, Api.ListMode.FULL, List.of(Bed.server(2), Bed.server(3)));
+        bed.router.onList(bed.now, Api.ListMode.FULL, List.of(Bed.server(1), Bed.server(2), Bed.server(3)));
+        for (int i = 0; i < 60; i++) {
+            bed.request(i, Bed.READ, i);
+            bed.pass(2);
+        }
+        assertTrue(bed.sends.stream().noneMatch(sent -> sent.server() == 1));
+        bed.router.onHolds(bed.now, Set.of());
+        bed.pass(10_000);
+        for (int i = 100; i < 160; i++) {
+            bed.request(i, Bed.READ, i);
+            bed.pass(2);
+        }
+        assertTrue(bed.sends.stream().anyMatch(sent -> sent.server() == 1));
+    }
+
+    /** The fourth rule: operators restart what they hold, and the list tells of that late or not at all. */
+    @Test
+    void aHostThatIsLetGoCountsAsCold() {
+        Bed bed = new Bed(new Bed.SettingsBuilder()).servers(3);
+        bed.router.onHolds(bed.now, Set.of(1L));
+        bed.pass(1_000);
+        bed.router.onHolds(bed.now, Set.of());
+        for (int i = 0; i < 200; i++) {
+            bed.request(i, Bed.READ, i);
+            bed.pass(2);
+        }
+        long cold = bed.sends.stream().filter(sent -> sent.server() == 1).count();
+        assertTrue(cold > 0 && cold < 40, "a third of 200 would be a warm host's part: " + cold);
+    }
 }
--- a/src/test/java/eiderscale/console/ConsoleServerTest.java
+++ b/src/test/java/eiderscale/console/ConsoleServerTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.Future;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -26,7 +27,7 @@
     private static final long PATIENT_MS = LIMIT_MS;
 
     /** A balancer that notes what it is asked. */
-    private static final class Asked implements Operations {
+    private final class Asked implements Operations {
         volatile boolean ready;
         final List<String> calls = new ArrayList<>();
 
@@ -44,6 +45,15 @@
         public void stopDrain() {
             calls.add("stop");
         }
+
+        @Override
+        public Future<Boolean> hold(String id, boolean out) {
+            if (id.equals("broken")) {
+                return group.next().newFailedFuture(new IOException("no room"));
+            }
+            calls.add((out ? "down " : "up ") + id);
+            return group.next().newSucceededFuture(id.startsWith("s-"));
+        }
     }
 
     private final Asked asked = new Asked();
@@ -109,6 +119,30 @@
         assertEquals(List.of("start", "stop"), asked.calls);
     }
 
+    private static String holdCall(String which, String body) {
+        return head("POST", "/ops/template-caches/" + which) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    @Test
+    void serversAreTakenOutAndPutBack() throws Exception {
+        InetSocketAddress console = console(PATIENT_MS);
+        assertStatus(200, call(console, holdCall("down", "{\"id\":\"s-1\"}")));
+        assertStatus(200, call(console, holdCall("up", "{\"id\":\"s-1\",\"by\":\"me\"}")));
+        assertStatus(404, call(console, holdCall("down", "{\"id\":\"nobody\"}")));
+        assertEquals(List.of("down s-1", "up s-1", "down nobody"), asked.calls);
+        assertStatus(500, call(console, holdCall("down", "{\"id\":\"broken\"}")));
+    }
+
+    @Test
+    void aCallWithoutAnIdIsToldSo() throws Exception {
+        InetSocketAddress console = console(PATIENT_MS);
+        for (String body : new String[] {"", "{", "[\"s-1\"]", "null", "{}", "{\"id\":7}", "{\"id\":\"\"}"}) {
+            assertStatus(400, call(console, holdCall("down", body)));
+        }
+        assertStatus(405, call(console, head("GET", "/ops/template-caches/up") + "\r\n"));
+        assertTrue(asked.calls.isEmpty());
+    }
+
     @Test
     void whatIsNoCallIsToldSo() throws Exception {
         InetSocketAddress console = console(PATIENT_MS);
--- a/src/test/java/eiderscale/net/OperationsTest.java
+++ b/src/test/java/eiderscale/net/OperationsTest.java
@@ -58,6 +58,31 @@
         }
     }
 
+    /** Another host takes what the held one would have got. */
+    @Test
+    void aHeldHostIsNotUsedUntilItIsLetGo() throws Exception {
+        FakeHost[] hosts = {FakeHost.serving(), FakeHost.serving()};
+        try (Rig rig = new Rig(hosts).start(); Peer client = rig.client()) {
+            assertFalse(hold(rig, "s-9", true), "nobody has this id");
+            assertFalse(hold(rig, "s-9", false));
+            assertTrue(hold(rig, "s-0", true));
+            assertTrue(hold(rig, "s-0", true), "twice does no harm");
+            for (int i = 0; i < 50; i++) {
+                assertEquals("HD O" + i + " c77", client.ask("ms " + i + " 1 O" + i + " Pc=copy,t=acme,d=5000\r\nx"));
+            }
+            assertEquals(0, hosts[0].connections.get());
+            assertTrue(hold(rig, "s-0", false), "one call back is enough");
+            assertTrue(hold(rig, "s-0", false));
+            for (int i = 0; hosts[0].connections.get() == 0; i++) {
+                client.ask("ms " + i + " 1 O" + i + " Pc=copy,t=acme,d=5000\r\nx");
+            }
+        }
+    }
+
+    private static boolean hold(Rig rig, String id, boolean out) throws Exception {
+        return rig.loop.submit(() -> rig.node.hold(id, out)).get().get();
+    }
+
     @Test
     void callsComeInOverHttp() throws Exception {
         try (Rig rig = new Rig(FakeHost.serving())) {
--- a/src/test/java/eiderscale/net/Rig.java
+++ b/src/test/java/eiderscale/net/Rig.java
@@ -57,7 +57,6 @@
     Node node;
     EventLoop loop;
     private NioEventLoopGroup group;
-    int others;
     private InetSocketAddress address;
     private SharedFolder folder;
     private Path temporary;
@@ -97,7 +96,8 @@
         Config config = Config.parse(Json.parse(config("127.0.0.1:0").getBytes(StandardCharsets.UTF_8)));
         temporary = Files.createTempDirectory("rig");
         folder = new SharedFolder(temporary, "rig");
-        node = loop.submit(() -> new Node(config, loop, module, folder, others)).get();
+        SharedFolder.Look look = folder.look();
+        node = loop.submit(() -> new Node(config, loop, module, folder, look)).get();
         address = (InetSocketAddress) loop.submit(node::start).get().sync().getNow().channel().localAddress();
         return this;
     }
@@ -116,6 +116,9 @@
 
     @Override
     public void close() throws IOException {
+        if (folder != null) {
+            folder.close();
+        }
         if (group != null) {
             group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
         }
@@ -123,7 +126,6 @@
             host.close();
         }
         if (folder != null) {
-            folder.close();
             try (Stream<Path> files = Files.list(temporary)) {
                 for (Path file : files.toList()) {
                     Files.delete(file);
--- a/src/test/java/eiderscale/net/Scripted.java
+++ b/src/test/java/eiderscale/net/Scripted.java
@@ -2,6 +2,7 @@
 
 import eiderscale.Api;
 import java.util.List;
+import java.util.Set;
 
 /** A module that does nothing: tests override what they are about. */
 class Scripted implements Api.Events {
@@ -35,6 +36,10 @@
     public void onTimer(long now, int token) {
     }
 
+    @Override
+    public void onHolds(long now, Set<Long> servers) {
+    }
+
     @Override
     public void onOthers(long now, int others) {
     }
