Share descriptors between two processes by what each has in use

Design: each process writes its counts into the file that shows it is alive; the other may use what is left, and a part of its own in any case. Clients hold up to a third of the descriptors over both processes, so half of that at the new one pushed out clients that had just come, some unserved.

--- a/src/main/java/eiderscale/lifecycle/SharedFolder.java
+++ b/src/main/java/eiderscale/lifecycle/SharedFolder.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -16,8 +17,8 @@
  * that there are two of them. It is looked at on a thread of its own: an event loop must not wait for files.
  */
 public final class SharedFolder implements AutoCloseable {
-    /** What a look showed: the ids held, and the further processes of this balancer that serve now. */
-    public record Look(Set<String> holds, int others) {
+    /** What a look showed: the ids held, the further processes of this balancer that serve now, and their use. */
+    public record Look(Set<String> holds, int others, Usage usage) {
     }
 
     /** Hears on the folder's thread what it shows; every look is told, changed or not. */
@@ -47,20 +48,25 @@
 
     /** What is there now; waits for it. */
     public Look look() throws Exception {
-        Callable<Look> look = () -> new Look(holds.read(), siblings.others());
-        return thread.submit(look).get();
+        return thread.submit((Callable<Look>) this::read).get();
     }
 
-    /** Says that this process serves, and looks from now on a few times a second. */
-    public void serve(Listener listener) {
+    private Look read() {
+        Siblings.Others others = siblings.others();
+        return new Look(holds.read(), others.count(), others.usage());
+    }
+
+    /** Says that this process serves and what it uses, and looks from now on a few times a second. */
+    public void serve(Supplier<Usage> usage, Listener listener) {
         thread.execute(siblings::announce);
-        thread.scheduleWithFixedDelay(() -> tell(listener), 0, LOOK_MS, TimeUnit.MILLISECONDS);
+        thread.scheduleWithFixedDelay(() -> exchange(usage, listener), 0, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void tell(Listener listener) {
+    private void exchange(Supplier<Usage> usage, Listener listener) {
         try {
-            listener.onLook(new Look(holds.read(), siblings.others()));
-        } catch (RuntimeException e) {
+            siblings.tell(usage.get());
+            listener.onLook(read());
+        } catch (IOException | RuntimeException e) {
             // An exception would end the looks for good.
             LOG.log(Level.WARNING, "a look at the shared folder failed", e);
         }
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -134,6 +134,11 @@
         return openIds.size();
     }
 
+    /** Connections to hosts. */
+    int links() {
+        return pool.links();
+    }
+
     String gauges() {
         return "open " + open() + " ledger " + exchanges.size() + " " + pool.gauges();
     }
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -126,12 +126,9 @@
         departure = timetable;
     }
 
-    /** From now on so many connections are held at most; idle ones make room. */
+    /** From now on so many connections are held at most; idle ones make room as further ones come. */
     void limit(int most) {
         mostClients = most;
-        while (connections.size() > mostClients && (evict(doubtful, 0) || evict(idle, 0))) {
-            // One goes at a time.
-        }
     }
 
     int clients() {
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -207,6 +207,10 @@
         hosts.values().removeIf(host -> host.gone && host.links == 0);
     }
 
+    int links() {
+        return links;
+    }
+
     String gauges() {
         return "hosts " + hosts.size() + " links " + links + " idle " + idle.size();
     }
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -5,6 +5,7 @@
 import eiderscale.console.Operations;
 import eiderscale.lifecycle.Departure;
 import eiderscale.lifecycle.SharedFolder;
+import eiderscale.lifecycle.Usage;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -24,6 +25,7 @@
     private static final long CALL_MS = 2_000;
     /** Descriptors kept for the JVM itself (11 when idle), discovery, the console, the listening sockets and accepts. */
     private static final int RESERVE = 48;
+    private static final int RESERVE_PART = 4;
     /**
      * Clients hold a third of the descriptors at most for requests. At just that many, each connection that
      * has closed and was not seen to yet costs a good one its place, so there are some more for these, for those
@@ -48,6 +50,11 @@
     private Phase phase = Phase.STARTING;
     /** Further processes of this balancer: descriptors are shared with them. */
     private int others;
+    /** What this process had in use lately; read by the folder's thread. */
+    private volatile Usage usage = new Usage(0, 0);
+    /** Descriptors for clients and for hosts, over all processes. */
+    private final int clients;
+    private final int links;
     /** What operators hold out of use. */
     private Set<String> holds;
     private int sweeps;
@@ -62,19 +69,25 @@
         int surplus = Math.min(MOST_SURPLUS, all / SURPLUS_PART);
         others = shared.others();
         holds = shared.holds();
-        balancer = new Balancer(config, loop, counters, module, budget, mostLinks(1 + others), shared);
-        server = new ClientServer(balancer, loop, counters, budget, mostClients(1 + others), surplus);
+        clients = Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
+        links = Math.max(1, all - reserve() - clients - surplus);
+        balancer = new Balancer(config, loop, counters, module, budget, mostLinks(shared), shared);
+        server = new ClientServer(balancer, loop, counters, budget, mostClients(shared), surplus);
     }
 
-    private int mostClients(int processes) {
-        int all = config.sockets() / processes;
-        return Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
+    private int reserve() {
+        return Math.min(RESERVE, config.sockets() / RESERVE_PART);
     }
 
-    private int mostLinks(int processes) {
-        int all = config.sockets() / processes;
-        return Math.max(1, all - Math.min(RESERVE, all / 4) - mostClients(processes)
-                - Math.min(MOST_SURPLUS, all / SURPLUS_PART));
+    /** What the other processes have in use is theirs, but for a part that is always ours. */
+    private int mostClients(SharedFolder.Look look) {
+        return Math.max(clients / (1 + look.others()), clients - look.usage().clients());
+    }
+
+    /** Likewise; each further process has a reserve of its own. */
+    private int mostLinks(SharedFolder.Look look) {
+        int all = Math.max(1 + look.others(), links - look.others() * reserve());
+        return Math.max(all / (1 + look.others()), all - look.usage().hosts());
     }
 
     /** Begins to listen, to operators first: from then on it is ready to serve. Done with the clients' channel. */
@@ -100,7 +113,7 @@
         clients.addListener(bound -> {
             if (bound.isSuccess()) {
                 phase = Phase.SERVING;
-                folder.serve(look -> loop.execute(() -> share(look)));
+                folder.serve(() -> usage, look -> loop.execute(() -> share(look)));
                 started.setSuccess(clients);
             } else {
                 started.setFailure(bound.cause());
@@ -111,15 +124,16 @@
     private void share(SharedFolder.Look look) {
         keep(look.holds());
         int count = look.others();
-        // Descriptors are counted over all processes of this balancer.
         if (count != others) {
             Counters.log(count > others ? "another process of this balancer serves: descriptors are shared"
                     : "the other process of this balancer has ended");
             others = count;
             balancer.onOthers(others);
-            server.limit(mostClients(1 + others));
-            balancer.limit(mostLinks(1 + others));
         }
+        usage = new Usage(server.clients(), balancer.links());
+        // Descriptors are counted over all processes of this balancer.
+        server.limit(mostClients(look));
+        balancer.limit(mostLinks(look));
     }
 
     /** What operators hold, as kept for all processes of this balancer. */
--- a/src/test/java/eiderscale/lifecycle/SiblingsTest.java
+++ b/src/test/java/eiderscale/lifecycle/SiblingsTest.java
@@ -17,14 +17,18 @@
     void onlyOthersThatServeAreCounted() throws Exception {
         Siblings old = new Siblings(folder, "1");
         try (Siblings fresh = new Siblings(folder, "2")) {
-            assertEquals(0, fresh.others());
+            assertEquals(0, fresh.others().count());
             old.announce();
-            assertEquals(1, fresh.others());
-            assertEquals(0, old.others(), "not itself, and not one that only starts");
+            assertEquals(new Siblings.Others(1, new Usage(0, 0)), fresh.others());
+            old.tell(new Usage(70, 30));
+            assertEquals(new Siblings.Others(1, new Usage(70, 30)), fresh.others());
+            old.tell(new Usage(7, 3));
+            assertEquals(new Siblings.Others(1, new Usage(7, 3)), fresh.others());
+            assertEquals(0, old.others().count(), "not itself, and not one that only starts");
             fresh.announce();
-            assertEquals(1, old.others());
+            assertEquals(1, old.others().count());
             old.close();
-            assertEquals(0, fresh.others());
+            assertEquals(0, fresh.others().count());
         }
     }
 
@@ -33,7 +37,7 @@
         Path left = Files.createFile(folder.resolve("serving-99"));
         Files.createFile(folder.resolve("else"));
         try (Siblings fresh = new Siblings(folder, "2")) {
-            assertEquals(0, fresh.others());
+            assertEquals(0, fresh.others().count());
             assertFalse(Files.exists(left));
         }
     }
@@ -42,7 +46,7 @@
     void withoutAFolderThereAreNoOthers() throws Exception {
         try (Siblings alone = new Siblings(folder.resolve("missing"), "1")) {
             alone.announce();
-            assertEquals(0, alone.others());
+            assertEquals(0, alone.others().count());
         }
     }
 }
