Take new settings at SIGHUP, whole or not at all

Design: a new file is checked against the running one (ConfigCheck: nothing that was told may be missing, deadlines and attempts are positive numbers), merged into its numbering (SettingsMerge: classes, tenants, zones and kinds keep their places, whatever the order in the file), made into an immutable Site and swapped in at one point (CurrentSite). The module hears onSettings: an open request goes on under its class, and is repeated or refused only as both that class and what it has become allow. A dropped class is still taken for 5 s, as clients hear of new settings after the balancer.

Skipped: renumbering the module's open requests at each reload. Stable numbers make a reload an assignment. Skipped: defaults for missing keys; at a start they are safe, but in a running balancer they would be nobody's intention.

--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -1,6 +1,7 @@
 package eiderscale;
 
 import eiderscale.Api.*;
+import java.util.Arrays;
 
 /** What is turned away before any work is done, and how hard the fleet looks pressed from here. */
 final class Admission {
@@ -24,14 +25,14 @@
     private static final double LEAST_WAIT = 0.25;
     private static final int WRITE_SMOOTHING = 8;
 
-    private final Settings settings;
+    private Settings settings;
     private double fills = 1;
     private double admitted = 1;
     private long loadAt;
     /** Mean time that an ordered request keeps its key. */
     long writeTime;
-    private final double[] tokens;
-    private final long[] filled;
+    private double[] tokens;
+    private long[] filled;
 
     Admission(Settings settings) {
         this.settings = settings;
@@ -39,6 +40,13 @@
         filled = new long[tokens.length];
     }
 
+    /** Tenants keep their numbers, and what they have saved up. */
+    void onSettings(Settings fresh) {
+        settings = fresh;
+        tokens = Arrays.copyOf(tokens, fresh.tenants().size());
+        filled = Arrays.copyOf(filled, tokens.length);
+    }
+
     /** Guards against full, slow caches under lasting overload: traffic over shares goes first. */
     boolean shed(boolean over, boolean write, double dice) {
         double pass = Math.max(0, over ? 2 * admitted - 1 : 2 * admitted);
--- a/src/main/java/eiderscale/Api.java
+++ b/src/main/java/eiderscale/Api.java
@@ -127,6 +127,12 @@
          */
         void onHolds(long now, Set<Long> servers);
 
+        /**
+         * New settings hold from now on. A class or tenant keeps its number for the life of the module, also
+         * one that is no longer named: its open requests go on.
+         */
+        void onSettings(long now, Settings settings);
+
         /** So many further processes of this balancer serve beside this one: an upgrade is under way. */
         void onOthers(long now, int others);
     }
--- a/src/main/java/eiderscale/Hedging.java
+++ b/src/main/java/eiderscale/Hedging.java
@@ -22,12 +22,16 @@
     private int samples;
     private long quantile;
     /** The sixth rule, with the times of requests taken and of further attempts. */
-    private final Budget budget;
+    private Budget budget;
     private final Deque<Long> taken = new ArrayDeque<>();
     private final Deque<Long> further = new ArrayDeque<>();
 
     Hedging(Budget budget) {
-        this.budget = budget != null ? budget : OWN_BUDGET;
+        onSettings(budget);
+    }
+
+    final void onSettings(Budget fresh) {
+        budget = fresh != null ? fresh : OWN_BUDGET;
     }
 
     /** A request came, whether refused or not. */
--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -57,7 +57,7 @@
     private final Map<Long, Host> known = new LinkedHashMap<>();
     /** Hosts that operators hold out of use, and since when; listed or not. */
     private final Map<Long, Long> held = new HashMap<>();
-    private final Settings settings;
+    private Settings settings;
     private long random;
     private double totalWeight;
     /** Balancers per host: guards against keys hot over many balancers, none of which sees enough of them. */
@@ -135,6 +135,12 @@
         close(host);
     }
 
+    void onSettings(Settings fresh) {
+        settings = fresh;
+        known.values().forEach(host -> host.inOwnZone = host.zone == fresh.zone());
+        rebuild();
+    }
+
     private void rebuild() {
         known.values().removeIf(host -> host.state == State.GONE && host.inFlight == 0);
         caches = new Host[known.size()];
--- a/src/main/java/eiderscale/KeyOrder.java
+++ b/src/main/java/eiderscale/KeyOrder.java
@@ -14,13 +14,17 @@
     }
 
     private final Map<Long, Line<T>> lines = new HashMap<>();
-    private final long quiet;
+    private long quiet;
     private int entered;
 
     KeyOrder(long quiet) {
         this.quiet = quiet;
     }
 
+    void onSettings(long fresh) {
+        quiet = fresh;
+    }
+
     /** Puts a request at the end of its key's line; returns how many stand before it. */
     int enter(long now, long key, T request) {
         if (++entered % SWEEP == 0) {
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -82,7 +82,7 @@
         }
     }
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions actions;
     private final HostHealth health;
     private final Candidates candidates;
@@ -92,7 +92,7 @@
     private final KeyOrder<Flight> order;
     private final PriorityQueue<Alarm> alarms = new PriorityQueue<>(
             Comparator.comparingLong(Alarm::at).thenComparingLong(alarm -> alarm.flight.request.id()));
-    private final int mostAttempts;
+    private int mostAttempts;
     private long timer;
     private int listFailures;
     /** Further processes of this balancer. */
@@ -102,20 +102,36 @@
     /** Before that a missing answer tells nothing: it may have come while this balancer did not look. */
     private long awareAt;
     /** A timer that is later than this is a sign of own lateness. */
-    private final long mostLate;
+    private long mostLate;
 
     /** Starts an instance; its first list follows as an event. */
     public Router(Settings settings, long seed, Actions actions) {
-        this.settings = settings;
         this.actions = actions;
         this.health = new HostHealth(settings, seed);
         this.candidates = new Candidates(health);
         this.admission = new Admission(settings);
         this.hedging = new Hedging(settings.budget());
         this.order = new KeyOrder<>(settings.keyQuiet());
-        this.mostLate = (long) (LATE * settings.classes().stream().mapToLong(admission::slowAfter).min()
-                .orElse(0));
-        this.mostAttempts = Math.max(1, Math.min(UP_TO, settings.maxAttempts()));
+        take(settings);
+    }
+
+    private void take(Settings fresh) {
+        settings = fresh;
+        mostLate = (long) (LATE * fresh.classes().stream().mapToLong(admission::slowAfter).min().orElse(0));
+        mostAttempts = Math.max(1, Math.min(UP_TO, fresh.maxAttempts()));
+    }
+
+    /**
+     * What is open goes on under the class it came with, but repeats and refusals must be allowed by what its
+     * class has become as well: clients and hosts may already go by either.
+     */
+    @Override
+    public void onSettings(long now, Settings fresh) {
+        take(fresh);
+        health.onSettings(fresh);
+        admission.onSettings(fresh);
+        hedging.onSettings(fresh.budget());
+        order.onSettings(fresh.keyQuiet());
     }
 
     @Override
@@ -318,7 +334,7 @@
 
     private void hedge(long now, Flight flight) {
         if (flight.streaming || flight.missed || flight.pending != 1
-                || flight.sent >= mostAttempts) {
+                || flight.sent >= mostAttempts(flight)) {
             return;
         }
         search(now, flight);
@@ -329,6 +345,10 @@
         }
     }
 
+    private int mostAttempts(Flight flight) {
+        return Math.min(mostAttempts, flight.attempts.length);
+    }
+
     private Host untried(Flight flight, int width) {
         for (int i = 0; i < candidates.count && i < width; i++) {
             Host host = candidates.top[i];
@@ -442,7 +462,7 @@
         if (flight.pending > 0) {
             return;
         }
-        if (now < flight.usefulUntil && flight.sent < mostAttempts && reason != Reason.MOOT) {
+        if (now < flight.usefulUntil && flight.sent < mostAttempts(flight) && reason != Reason.MOOT) {
             Host host = next(now, flight, reason);
             if (host != null && maySend(now, flight, host)
                     && (reason == Reason.MISS || broken && settings.budget() == null || hedging.spend(now))) {
@@ -469,19 +489,30 @@
         if (flight.pending > 0 && !settings.mayDuplicate()) {
             return false;
         }
-        RequestClass c = flight.requestClass;
         Attempt first = flight.mayHaveRun();
-        return first == null || c.effect() == Effect.RETRYABLE
+        return first == null || mayRepeat(now, flight.requestClass, first, host)
+                && mayRepeat(now, classNow(flight), first, host);
+    }
+
+    private RequestClass classNow(Flight flight) {
+        return settings.classes().get(flight.request.requestClass());
+    }
+
+    private static boolean mayRepeat(long now, RequestClass c, Attempt first, Host host) {
+        return c.effect() == Effect.RETRYABLE
                 || c.effect() == Effect.DEDUP && now - first.sentAt <= c.window() * WINDOW_SAFETY
                 && (c.group() != Group.ZONE || first.host.zone == host.zone)
                 && (c.group() != Group.CELL || first.host.cell == host.cell);
     }
 
     /** The second rule: a refusal promises that a client's retry does no harm. */
-    private static boolean mayRefuse(Flight flight) {
-        RequestClass c = flight.requestClass;
-        return c.effect() == Effect.RETRYABLE || c.effect() == Effect.DEDUP && c.group() == Group.ALL
-                || flight.mayHaveRun() == null;
+    private boolean mayRefuse(Flight flight) {
+        return flight.mayHaveRun() == null
+                || isRepeatable(flight.requestClass) && isRepeatable(classNow(flight));
+    }
+
+    private static boolean isRepeatable(RequestClass c) {
+        return c.effect() == Effect.RETRYABLE || c.effect() == Effect.DEDUP && c.group() == Group.ALL;
     }
 
     private void finish(long now, Flight flight) {
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -37,7 +37,7 @@
     private record Event(Exchange exchange, Runnable action) {
     }
 
-    private final Site site;
+    private final CurrentSite site;
     private final EventLoop loop;
     private final Counters counters;
     private final Api.Events router;
@@ -54,12 +54,12 @@
     Balancer(Config config, EventLoop loop, Counters counters, Module module, Budget budget,
              int mostConnections, SharedFolder.Look shared) {
         this.budget = budget;
-        this.site = config.site();
+        this.site = new CurrentSite(config.site());
         this.loop = loop;
         this.counters = counters;
         this.pool = new HostPool(site, loop, counters, mostConnections, this);
-        this.discovery = new Discovery(config, loop, this);
-        this.router = module.create(site.settings, config.seed(), this);
+        this.discovery = new Discovery(config, site, loop, this);
+        this.router = module.create(config.site().settings, config.seed(), this);
         onOthers(shared.others());
         onHolds(shared.holds());
         Catalog known = config.known();
@@ -81,7 +81,7 @@
         Exchange exchange = new Exchange(++lastId, command, deadline, client);
         counters.taken++;
         // Running out of room is told to the client: a refusal of what never went out does no harm.
-        if (open() >= site.maxOpen || !budget.take(bytes(command))) {
+        if (open() >= site().maxOpen || !budget.take(bytes(command))) {
             counters.localRefusals++;
             answerRefused(exchange, 0);
             return exchange;
@@ -120,13 +120,15 @@
         end(attempt, reason, answer);
     }
 
-    /** The configuration was replaced: of what it tells, where discovery is may change under way. */
+    /** The configuration was replaced: of what it tells, the settings and where discovery is change under way. */
     void reload(Config fresh) {
+        site.swap(fresh.site());
+        post(null, () -> router.onSettings(Clock.now(), fresh.site().settings));
         discovery.moveTo(fresh.discovery());
     }
 
     Site site() {
-        return site;
+        return site.get();
     }
 
     /** The number of requests that are owed an answer. */
@@ -258,7 +260,7 @@
                 counters.served++;
                 answer(exchange, answerLine(exchange.command, answer), answer.data());
             }
-            float[] report = site.report(answer == null ? null : answer.flag(1, 'L'));
+            float[] report = site().report(answer == null ? null : answer.flag(1, 'L'));
             long now = Clock.now();
             router.onOutcome(now, new Api.Outcome(exchange.id, attempt.number, reason, now - attempt.sentAt,
                     exchange.over, report));
@@ -313,7 +315,7 @@
         Attempt attempt = new Attempt(exchange, exchange.attempts.size(), now, cut);
         exchange.attempts.add(attempt);
         exchange.pending++;
-        boolean tooMany = exchange.attempts.size() > site.settings.maxAttempts();
+        boolean tooMany = exchange.attempts.size() > site().settings.maxAttempts();
         if (exchange.over || tooMany || now >= exchange.deadline) {
             end(attempt, Reason.MOOT, null);
         } else if (now >= cut) {
@@ -342,7 +344,8 @@
     public void refuse(long request, long retryAfter) {
         Exchange exchange = exchanges.get(request);
         if (exchange != null && !exchange.over) {
-            long most = site.settings.retryAfter() ? Math.min(retryAfter, site.settings.maxRetryAfter()) : 0;
+            Api.Settings settings = site().settings;
+            long most = settings.retryAfter() ? Math.min(retryAfter, settings.maxRetryAfter()) : 0;
             answerRefused(exchange, (most + Clock.MILLISECOND - 1) / Clock.MILLISECOND);
         }
     }
--- a/src/main/java/eiderscale/net/Config.java
+++ b/src/main/java/eiderscale/net/Config.java
@@ -6,17 +6,36 @@
 import java.nio.file.Path;
 import java.util.Map;
 
-/** What the deployment tells this balancer. {@code console}: where operators call, or null. */
+/**
+ * What the deployment tells this balancer. {@code console}: where operators call, or null; {@code json}: all of it as
+ * it was told.
+ */
 record Config(String name, InetSocketAddress listen, InetSocketAddress console, InetSocketAddress discovery,
-              long seed, int sockets, Site site, Catalog known) {
+              long seed, int sockets, Site site, Catalog known, Map<?, ?> json) {
     private static final int DEFAULT_SOCKETS = 1024;
 
     static Config read(String path) {
+        Map<?, ?> json = load(path);
+        try {
+            return parse(json);
+        } catch (ConfigException e) {
+            throw new ConfigException(path + ": " + e.getMessage());
+        }
+    }
+
+    /** What replaces this configuration: it must be whole, and goes by the numbering of this one. */
+    Config succeed(Map<?, ?> fresh) {
+        ConfigCheck.replaces(json, fresh);
+        return parse(fresh, site.succeed(Json.get(fresh, "settings", Map.class), Clock.now()));
+    }
+
+    /** What a file tells, as yet unchecked; waits for it. */
+    static Map<?, ?> load(String path) {
         if (path == null || path.isEmpty()) {
             throw new ConfigException("GW_CONFIG is not set");
         }
         try {
-            return parse(Json.parse(Files.readAllBytes(Path.of(path))));
+            return Json.parse(Files.readAllBytes(Path.of(path)));
         } catch (IOException e) {
             throw new ConfigException("cannot read " + path);
         } catch (ConfigException e) {
@@ -25,7 +44,10 @@
     }
 
     static Config parse(Map<?, ?> json) {
-        Site site = new Site(Json.get(json, "settings", Map.class));
+        return parse(json, new Site(Json.get(json, "settings", Map.class)));
+    }
+
+    private static Config parse(Map<?, ?> json, Site site) {
         Map<?, ?> limits = Json.get(json, "limits", Map.class, Map.of());
         Map<?, ?> known = Json.get(json, "known", Map.class, Map.of("rev", 0, "all", true));
         String console = Json.get(json, "console", String.class, null);
@@ -36,7 +58,7 @@
                     Catalog.address(Json.get(json, "discovery", String.class)),
                     Long.parseUnsignedLong(Json.get(json, "seed", String.class, "0"), 16),
                     Json.get(limits, "sockets", Number.class, DEFAULT_SOCKETS).intValue(), site,
-                    Catalog.parse(known, site));
+                    Catalog.parse(known, site), json);
         } catch (NumberFormatException e) {
             throw new ConfigException("'seed' is no hexadecimal number");
         }
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -43,7 +43,7 @@
     private static final int MOST_BYTES = 4 * 1024 * 1024;
 
     private InetSocketAddress address;
-    private final Site site;
+    private final CurrentSite site;
     private final EventLoop loop;
     private final Listener listener;
     private long rev;
@@ -52,9 +52,9 @@
     /** The call that is out or about to begin; null while nobody watches. */
     private Call current;
 
-    Discovery(Config config, EventLoop loop, Listener listener) {
+    Discovery(Config config, CurrentSite site, EventLoop loop, Listener listener) {
         this.address = config.discovery();
-        this.site = config.site();
+        this.site = site;
         this.loop = loop;
         this.listener = listener;
         this.rev = config.known().rev();
@@ -141,7 +141,7 @@
             }
             Catalog catalog;
             try {
-                catalog = Catalog.parse(Json.parse(ByteBufUtil.getBytes(response.content())), site);
+                catalog = Catalog.parse(Json.parse(ByteBufUtil.getBytes(response.content())), site.get());
             } catch (ConfigException e) {
                 fail(e.getMessage());
                 return;
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -51,7 +51,7 @@
         final Deque<Link> idle = new ArrayDeque<>();
     }
 
-    private final Site site;
+    private final CurrentSite site;
     private final Counters counters;
     private int mostLinks;
     private final Listener listener;
@@ -65,15 +65,13 @@
     private Set<Long> held = Set.of();
     private int links;
 
-    HostPool(Site site, EventLoop loop, Counters counters, int mostLinks, Listener listener) {
+    HostPool(CurrentSite site, EventLoop loop, Counters counters, int mostLinks, Listener listener) {
         this.site = site;
         this.counters = counters;
         this.mostLinks = mostLinks;
         this.listener = listener;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, site.connectTimeout / Clock.MILLISECOND));
+                .option(ChannelOption.TCP_NODELAY, true);
     }
 
     /** Applies a list before the module sees it, so that every host it may name is known here. */
@@ -125,7 +123,7 @@
     }
 
     private void leave(Host host, long now) {
-        host.sendUntil = Math.min(host.sendUntil, now + Math.max(0, site.settings.drainGrace() - GRACE_MARGIN));
+        host.sendUntil = Math.min(host.sendUntil, now + Math.max(0, site.get().settings.drainGrace() - GRACE_MARGIN));
         closeIdle(host);
     }
 
@@ -197,7 +195,7 @@
 
     /** Retires connections well before their hosts would, and forgets hosts that are gone. */
     void sweep() {
-        long oldest = Clock.now() - (long) (site.idleTime * IDLE_PART);
+        long oldest = Clock.now() - (long) (site.get().idleTime * IDLE_PART);
         for (Link link : List.copyOf(idle)) {
             if (link.idleSince > oldest) {
                 break;
@@ -238,7 +236,8 @@
             counted = true;
             links++;
             host.links++;
-            ChannelFuture up = bootstrap.clone().handler(new ChannelInitializer<>() {
+            int timeout = (int) Math.max(1, site.get().connectTimeout / Clock.MILLISECOND);
+            ChannelFuture up = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout).handler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel fresh) {
                     fresh.pipeline().addLast(decoder, Link.this);
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.nio.file.Path;
+import java.util.Map;
 
 /** The real balancer as a program: reads its configuration (at SIGHUP again), serves until SIGTERM, ends with 0. */
 public final class Main {
@@ -26,7 +27,7 @@
             // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop, folder), "stop"));
             loop.submit(node::start).get().sync();
-            hangup.serve(() -> loop.execute(() -> node.reload(path)));
+            hangup.serve(() -> reload(path, node, loop));
             Counters.log(config.name() + " serves on " + config.listen());
         } catch (ConfigException e) {
             Counters.log(e.getMessage());
@@ -37,6 +38,16 @@
         }
     }
 
+    /** Reads on the signal's own thread. One at a time, so that what was read last is taken last. */
+    private static synchronized void reload(String path, Node node, EventLoop loop) {
+        try {
+            Map<?, ?> json = Config.load(path);
+            loop.execute(() -> node.reload(json));
+        } catch (ConfigException e) {
+            Counters.log("the old configuration stays: " + e.getMessage());
+        }
+    }
+
     /** The folder that all processes of this balancer share, and no other balancer. */
     private static Path temporary() {
         String named = System.getenv("TMPDIR");
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -11,6 +11,7 @@
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -40,7 +41,7 @@
 
     private enum Phase { STARTING, SERVING, DRAINING, STOPPING }
 
-    private final Config config;
+    private Config config;
     private final EventLoop loop;
     private final SharedFolder folder;
     private final Counters counters = new Counters();
@@ -166,10 +167,13 @@
         balancer.onList(mode, members);
     }
 
-    /** Reads the configuration again; one that cannot be used changes nothing. */
-    void reload(String path) {
+    /** The configuration was replaced by this; one that cannot be used changes nothing. */
+    void reload(Map<?, ?> json) {
         try {
-            balancer.reload(Config.read(path));
+            config = config.succeed(json);
+            balancer.reload(config);
+            Counters.log("new settings hold: classes " + config.site().names() + ", attempts "
+                    + config.site().settings.maxAttempts());
         } catch (ConfigException e) {
             Counters.log("the old configuration stays: " + e.getMessage());
         }
--- a/src/main/java/eiderscale/net/Site.java
+++ b/src/main/java/eiderscale/net/Site.java
@@ -17,6 +17,7 @@
     private static final Map<String, String> FIELD_NAMES = Map.of("inflight", "rif", "queue", "q",
             "util", "busy", "latency_ms", "lat_ms", "qps", "rate", "eps", "fail_rate");
     private static final float[] NO_REPORT = {};
+    private static final long DROPPED_NS = 5 * Clock.SECOND;
 
     final Api.Settings settings;
     final long connectTimeout;
@@ -27,8 +28,18 @@
     private final Map<String, Integer> zones;
     private final Map<String, Integer> kinds;
     private final Map<String, Integer> fields;
+    /** The settings as they were told, in the numbering of this program's life. */
+    private final Map<?, ?> json;
+    /** Until when classes that are named no more are still taken: clients hear of new settings later. */
+    private final Map<String, Long> droppedUntil;
 
     Site(Map<?, ?> json) {
+        this(json, new HashMap<>());
+    }
+
+    private Site(Map<?, ?> json, Map<String, Long> droppedUntil) {
+        this.json = json;
+        this.droppedUntil = droppedUntil;
         Map<String, String> lines = new TreeMap<>();
         flatten("", json, lines);
         StringBuilder text = new StringBuilder();
@@ -54,6 +65,16 @@
         fields = numbers(Json.list(Json.get(json, "load-report", Map.class, Map.of()), "fields"), false);
     }
 
+    /** What holds once these settings are told: names keep their numbers, and dropped classes live on for a while. */
+    Site succeed(Map<?, ?> fresh, long now) {
+        Map<String, Long> until = new HashMap<>();
+        for (String name : SettingsMerge.dropped(json, fresh, "categories")) {
+            long deadline = settings.classes().get(classes.get(name)).deadline();
+            until.put(name, droppedUntil.getOrDefault(name, now + Math.max(DROPPED_NS, deadline)));
+        }
+        return new Site(SettingsMerge.merge(json, fresh), until);
+    }
+
     /** Writes an object in the form of the simulator's settings lines, so that both sides parse alike. */
     private static void flatten(String path, Object value, Map<String, String> lines) {
         if (value instanceof Map<?, ?> map) {
@@ -96,9 +117,15 @@
         return numbers;
     }
 
-    /** The number of a request class, or null for a name that the settings do not hold. */
+    /** The number of a request class, or null for a name that the settings do not hold, or no longer. */
     Integer requestClass(String name) {
-        return classes.get(name);
+        Long until = droppedUntil.get(name);
+        return until == null || Clock.now() < until ? classes.get(name) : null;
+    }
+
+    /** The classes that the settings name, those named no more left out. */
+    List<String> names() {
+        return classes.keySet().stream().filter(name -> !droppedUntil.containsKey(name)).sorted().toList();
     }
 
     /** The number of a tenant; where the site has none, every name is tenant 0. */
--- a/src/test/java/eiderscale/Bed.java
+++ b/src/test/java/eiderscale/Bed.java
@@ -214,16 +214,18 @@
         List<Api.Tenant> tenants = List.of();
         double overShareWorth = 1;
         boolean ordered;
+        Api.Effect readEffect = Api.Effect.RETRYABLE;
+        Api.Effect unsafeEffect = Api.Effect.FRAGILE;
         Api.Budget budget;
         Api.ReportLayout report = new Api.ReportLayout(-1, -1, -1);
 
         Api.Settings build() {
             List<Api.RequestClass> classes = List.of(
-                    new Api.RequestClass(1000 * MS, 0, 4000 * MS, 3, lateWorth, Api.Effect.RETRYABLE,
+                    new Api.RequestClass(1000 * MS, 0, 4000 * MS, 3, lateWorth, readEffect,
                             Api.Group.ALL, 0, false, false),
                     new Api.RequestClass(1000 * MS, 0, 4000 * MS, 9, lateWorth, Api.Effect.DEDUP, group,
                             500 * MS, false, ordered),
-                    new Api.RequestClass(1000 * MS, 0, 4000 * MS, 5, lateWorth, Api.Effect.FRAGILE,
+                    new Api.RequestClass(1000 * MS, 0, 4000 * MS, 5, lateWorth, unsafeEffect,
                             Api.Group.CELL, 0, false, false));
             return new Api.Settings(classes, tenants, 0, rank, instances, aside, aside ? 2 : -1, subscribe,
                     maxAttempts, mayDuplicate, true, true, 2000 * MS, 250 * MS, 10_000 * MS,
--- a/src/test/java/eiderscale/RulesTest.java
+++ b/src/test/java/eiderscale/RulesTest.java
@@ -285,4 +285,41 @@
         long cold = bed.sends.stream().filter(sent -> sent.server() == 1).count();
         assertTrue(cold > 0 && cold < 40, "a third of 200 would be a warm host's part: " + cold);
     }
+
+    /** The second rule under new settings: what is open is repeated and refused only as both of them allow. */
+    @Test
+    void anOpenRequestGoesByTheStricterOfItsClasses() {
+        Bed bed = new Bed(new Bed.SettingsBuilder()).servers(3);
+        bed.request(1, Bed.READ, 5);
+        bed.request(2, Bed.UNSAFE, 6);
+        Bed.SettingsBuilder swapped = new Bed.SettingsBuilder();
+        swapped.readEffect = Api.Effect.FRAGILE;
+        swapped.unsafeEffect = Api.Effect.RETRYABLE;
+        bed.router.onSettings(bed.now, swapped.build());
+        bed.outcome(1, 0, Reason.ERROR);
+        bed.outcome(2, 0, Reason.ERROR);
+        assertEquals(2, bed.sends.size(), "neither is sent again");
+        assertEquals(List.of(1L, 2L), bed.failures, "nor refused");
+        bed.request(3, Bed.UNSAFE, 6);
+        bed.outcome(3, 0, Reason.ERROR);
+        assertEquals(4, bed.sends.size(), "what comes now goes by the new ones alone");
+    }
+
+    @Test
+    void fewerAttemptsHoldForWhatIsOpenAndMoreForWhatComes() {
+        Bed bed = new Bed(new Bed.SettingsBuilder()).servers(6);
+        Bed.SettingsBuilder fewer = new Bed.SettingsBuilder();
+        fewer.maxAttempts = 1;
+        bed.request(1, Bed.READ, 5);
+        bed.router.onSettings(bed.now, fewer.build());
+        bed.outcome(1, 0, Reason.ERROR);
+        assertEquals(1, bed.sends.size());
+        bed.request(2, Bed.READ, 5);
+        bed.router.onSettings(bed.now, new Bed.SettingsBuilder().build());
+        bed.outcome(2, 0, Reason.ERROR);
+        assertEquals(2, bed.sends.size(), "it came with one");
+        bed.request(3, Bed.READ, 5);
+        bed.outcome(3, 0, Reason.ERROR);
+        assertEquals(4, bed.sends.size());
+    }
 }
--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -144,7 +144,7 @@
             rig.start();
             assertEquals("CACHED 1", next(told));
             assertTrue(next(calls) != null);
-            Path config = Files.writeString(folder.resolve("config.json"), "{\"discovery\":");
+            Path config = Files.writeString(folder.resolve("config.json"), "{\"discovery\":\"127.0.0.1:2\"}");
             reload(rig, config);
             rig.discovery = other.endpoint();
             Files.writeString(config, rig.config("127.0.0.1:0"));
@@ -166,7 +166,7 @@
     }
 
     private static void reload(Rig rig, Path config) throws Exception {
-        rig.loop.submit(() -> rig.node.reload(config.toString())).get();
+        rig.loop.submit(() -> rig.node.reload(Config.load(config.toString()))).get();
     }
 
     /** Rendezvous hashing needs one id for a host at all balancers, whose addresses for it differ. */
--- a/src/test/java/eiderscale/net/Scripted.java
+++ b/src/test/java/eiderscale/net/Scripted.java
@@ -40,6 +40,10 @@
     public void onHolds(long now, Set<Long> servers) {
     }
 
+    @Override
+    public void onSettings(long now, Api.Settings settings) {
+    }
+
     @Override
     public void onOthers(long now, int others) {
     }
--- a/src/test/java/eiderscale/net/StopTest.java
+++ b/src/test/java/eiderscale/net/StopTest.java
@@ -172,9 +172,11 @@
                 BufferedReader log = log(process);
                 awaitLine(log, "serves on");
                 try (Peer client = new Peer(new Socket(InetAddress.getLoopbackAddress(), port))) {
-                    Files.writeString(config, "{");
-                    hangUp(process);
-                    awaitLine(log, "the old configuration stays");
+                    for (String broken : new String[] {"{", "", "{\"listen\":\"127.0.0.1:1\"}"}) {
+                        Files.writeString(config, broken);
+                        hangUp(process);
+                        awaitLine(log, "the old configuration stays");
+                    }
                     rig.discovery = "127.0.0.1:2";
                     Files.writeString(config, rig.config("127.0.0.1:" + port));
                     hangUp(process);
