Stream long values from cache to client in bounded pieces

Design: an answer of over 64 KiB (to 4 MiB) wins with its first line; its value then runs through a ValueStream from the host's connection to the client's, piece by piece. The host is read only while the client takes what comes, and over all streams only so much may wait (6 MiB), each stream one piece in any case. A value that breaks off, or lacks its end, ends the client's connection, so that the client can tell; ten seconds without a move give it up. Heads may take 2.5 s, as good clients may need 2 s.

Skipped: gathering long values within a budget. More are under way at once than memory holds, and their first bytes are what is timed. Skipped too: answering 'failed' for a value that breaks while it waits behind an earlier answer: a paused connection does not show its end, so that path was never taken.

Ruled out before: slow clients and pieces as the cause (no cut, no time-out at the clients' side); the log had 885 answers 'value too large' in 20 s.

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -116,8 +116,8 @@
     }
 
     @Override
-    public void onAnswer(Attempt attempt, Reason reason, MetaFrame answer) {
-        end(attempt, reason, answer);
+    public void onAnswer(Attempt attempt, Reason reason, MetaFrame answer, ValueStream value) {
+        end(attempt, reason, answer, value);
     }
 
     /** The configuration was replaced: of what it tells, the settings and where discovery is change under way. */
@@ -238,13 +238,16 @@
     private void drop(Attempt attempt, Reason reason) {
         if (!attempt.over) {
             pool.abandon(attempt);
-            end(attempt, reason, null);
+            end(attempt, reason, null, null);
         }
     }
 
     /** Reports the one outcome of an attempt. */
-    private void end(Attempt attempt, Reason reason, MetaFrame answer) {
+    private void end(Attempt attempt, Reason reason, MetaFrame answer, ValueStream value) {
         if (attempt.over) {
+            if (value != null) {
+                value.cancel();
+            }
             return;
         }
         attempt.over = true;
@@ -256,9 +259,11 @@
         exchange.mayHaveRun |= !reason.neverRan;
         post(exchange, () -> {
             exchange.pending--;
-            if (reason == Reason.OK && !exchange.over) {
+            if (reason == Reason.OK && close(exchange)) {
                 counters.served++;
-                answer(exchange, answerLine(exchange.command, answer), answer.data());
+                serve(exchange, answer, value);
+            } else if (value != null) {
+                value.cancel();
             }
             float[] report = site().report(answer == null ? null : answer.flag(1, 'L'));
             long now = Clock.now();
@@ -270,7 +275,16 @@
     /** What a host answered, without what it tells balancers only. */
     private static String answerLine(Command command, MetaFrame answer) {
         return command.write ? "HD O" + command.opaque + " c" + answer.flag(1, 'c') + "\r\n"
-                : "VA " + answer.data().length + " O" + command.opaque + "\r\n";
+                : "VA " + answer.words().get(1) + " O" + command.opaque + "\r\n";
+    }
+
+    private static void serve(Exchange exchange, MetaFrame answer, ValueStream value) {
+        String line = answerLine(exchange.command, answer);
+        if (value == null) {
+            exchange.client.answer(line, answer.data());
+        } else {
+            exchange.client.stream(line, value);
+        }
     }
 
     private void answerRefused(Exchange exchange, long retryAfterMs) {
@@ -317,9 +331,9 @@
         exchange.pending++;
         boolean tooMany = exchange.attempts.size() > site().settings.maxAttempts();
         if (exchange.over || tooMany || now >= exchange.deadline) {
-            end(attempt, Reason.MOOT, null);
+            end(attempt, Reason.MOOT, null, null);
         } else if (now >= cut) {
-            end(attempt, Reason.TIMEOUT, null);
+            end(attempt, Reason.TIMEOUT, null, null);
         } else {
             attempt.cut = loop.schedule(() -> cut(attempt), cut - now, TimeUnit.NANOSECONDS);
             pool.send(attempt, server);
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -45,8 +45,8 @@
     /** Reads of one connection before the loop turns to the next, lest one that floods starves the others. */
     private static final int READS_AT_ONCE = 4;
     private static final int MOST_READ = 16 * 1024;
-    /** A first command, or one that has begun, must be whole within this time. */
-    private static final long COMMAND_NS = 2 * Clock.SECOND;
+    /** A first command, or one that has begun, must be whole within this time; good clients may need 2 s. */
+    private static final long COMMAND_NS = 2_500 * Clock.MILLISECOND;
     /** A connection on which nothing has been asked for so long is closed; good clients ask far more often. */
     private static final long IDLE_NS = 20 * Clock.SECOND;
     /** A client that does not take the answer behind which its connection closes is not waited for longer. */
@@ -58,7 +58,12 @@
     /** After a fault a connection is not read for this long, and after so many faults no more at all. */
     private static final long PENALTY_MS = 50;
     private static final int MOST_FAULTS = 8;
-    private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
+    private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(16 * 1024, 64 * 1024);
+    /** Pieces of long values, over all connections, that clients may leave waiting before hosts are read no more. */
+    private static final long MOST_STREAMED = 6L * 1024 * 1024;
+    /** A long value that neither end moves on for so long is given up. */
+    private static final long STALLED_NS = 10 * Clock.SECOND;
+    private static final byte[] CRLF = {'\r', '\n'};
 
     private final Balancer balancer;
     private final EventLoop loop;
@@ -75,6 +80,8 @@
     private final Queue<Connection> waiting = new ArrayDeque<>();
     private Channel server;
     private long unread;
+    /** Bytes of long values that are written and not taken yet. */
+    private long streamed;
     /** How clients are being sent away; null while they are welcome. */
     private Departure departure;
 
@@ -186,10 +193,17 @@
     }
 
     /** The place of one command in the order of answers. */
-    private final class Slot implements Exchange.Client {
+    private final class Slot implements Exchange.Client, ValueStream.Sink {
         private final Connection connection;
         private ByteBuf answer;
         private Exchange exchange;
+        /** The long value behind the answer, until its last piece has been written. */
+        private ValueStream value;
+        /** The answer's line has been written and the value follows. */
+        private boolean streaming;
+        /** Pieces that the client has not taken yet, and when it last took one. */
+        private int unsent;
+        private long progressAt;
 
         Slot(Connection connection) {
             this.connection = connection;
@@ -203,6 +217,66 @@
                 connection.flushReady();
             }
         }
+
+        @Override
+        public void stream(String line, ValueStream coming) {
+            if (connection.gone) {
+                coming.cancel();
+                return;
+            }
+            value = coming;
+            answer(line, null);
+        }
+
+        /** Its turn has come: the line is written, now the value. */
+        private void begin() {
+            streaming = true;
+            progressAt = Clock.now();
+            value.attach(this);
+            adjustDemand();
+        }
+
+        /** Reads the host on while its client takes what comes, and all of them together do not leave too much. */
+        private void adjustDemand() {
+            if (streaming && value != null) {
+                value.demand(connection.channel.isWritable() && (unsent == 0 || streamed < MOST_STREAMED));
+            }
+        }
+
+        @Override
+        public void piece(ByteBuf piece) {
+            int bytes = piece.readableBytes();
+            unsent += bytes;
+            streamed += bytes;
+            connection.channel.writeAndFlush(piece).addListener(done -> {
+                unsent -= bytes;
+                streamed -= bytes;
+                progressAt = Clock.now();
+                adjustDemand();
+            });
+            adjustDemand();
+        }
+
+        @Override
+        public void end() {
+            value = null;
+            unread += 2;
+            connection.channel.write(Unpooled.wrappedBuffer(CRLF)).addListener(done -> unread -= 2);
+            connection.passed(this);
+        }
+
+        @Override
+        public void broken() {
+            // Short of its length, and behind the end of the connection: the client can tell.
+            value = null;
+            counters.cutShort++;
+            connection.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        /** Whether neither end has moved for too long. */
+        private boolean isStalled(long now) {
+            return streaming && value != null && now - progressAt > STALLED_NS;
+        }
     }
 
     private final class Connection extends SimpleChannelInboundHandler<MetaFrame> {
@@ -271,7 +345,10 @@
         }
 
         void checkTime(long now) {
-            if (departure != null && slots.isEmpty() && !leaving
+            if (!slots.isEmpty() && slots.peek().isStalled(now)) {
+                counters.cutShort++;
+                channel.close();
+            } else if (departure != null && slots.isEmpty() && !leaving
                     && now >= (halfSince == 0 ? departure.idleUntil() : departure.serveUntil())) {
                 quitting = true;
                 adjust();
@@ -394,11 +471,16 @@
                 return;
             }
             boolean wrote = false;
-            while (!slots.isEmpty() && slots.peek().answer != null) {
-                ByteBuf answer = slots.poll().answer;
-                int bytes = answer.readableBytes();
-                channel.write(answer).addListener(done -> unread -= bytes);
+            while (!slots.isEmpty() && slots.peek().answer != null && !slots.peek().streaming) {
+                Slot slot = slots.peek();
                 wrote = true;
+                if (slot.value == null) {
+                    slots.poll();
+                    write(slot);
+                } else {
+                    write(slot);
+                    slot.begin();
+                }
             }
             if (wrote) {
                 channel.flush();
@@ -408,6 +490,22 @@
             adjust();
         }
 
+        private void write(Slot slot) {
+            int bytes = slot.answer.readableBytes();
+            channel.write(slot.answer).addListener(done -> unread -= bytes);
+        }
+
+        /** The long value of the first slot has been passed on whole. */
+        private void passed(Slot slot) {
+            slots.remove(slot);
+            channel.flush();
+            quitting |= departure != null && slots.isEmpty();
+            if (reading) {
+                return;
+            }
+            flushReady();
+        }
+
         /** Reads on, stops reading, or closes, as its open requests and its client's reading allow. */
         void adjust() {
             if (gone || leaving) {
@@ -434,6 +532,9 @@
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (!slots.isEmpty()) {
+                slots.peek().adjustDemand();
+            }
             adjust();
         }
 
@@ -443,6 +544,12 @@
             connections.remove(this);
             beBusy();
             for (Slot slot : slots) {
+                if (slot.value != null) {
+                    slot.value.cancel();
+                }
+                if (slot.streaming) {
+                    continue;
+                }
                 if (slot.answer != null) {
                     unread -= slot.answer.readableBytes();
                     slot.answer.release();
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -19,6 +19,8 @@
     /** Commands whose clients had closed their connections before anything was done. */
     long departed;
     long malformed;
+    /** Long values whose client got only part of them. */
+    long cutShort;
     long lastCalls;
     long connects;
     long localRefusals;
@@ -45,9 +47,9 @@
     /** Writes what has been counted so far. */
     void print(String gauges) {
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
-                "taken %d served %d refused %d failed %d gone %d departed %d malformed %d last-calls %d | connects %d"
+                "taken %d served %d refused %d failed %d gone %d departed %d malformed %d cut-short %d last-calls %d | connects %d"
                 + " local-refusals %d | evicted %d timed-out %d retired %d turned-away %d | timers %d late %d worst %.1f ms |", taken, served, refused, failed,
-                clientsGone, departed, malformed, lastCalls, connects, localRefusals, evicted,
+                clientsGone, departed, malformed, cutShort, lastCalls, connects, localRefusals, evicted,
                 timedOut, retired, turnedAway, timers, lateTimers, latest / 1e6));
         for (Reason reason : Reason.values()) {
             if (outcomes[reason.ordinal()] > 0) {
--- a/src/main/java/eiderscale/net/Exchange.java
+++ b/src/main/java/eiderscale/net/Exchange.java
@@ -9,6 +9,9 @@
     /** Where the one final answer goes. */
     interface Client {
         void answer(String line, byte[] data);
+
+        /** Likewise, with a value that is still coming in. */
+        void stream(String line, ValueStream value);
     }
 
     final long id;
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -4,6 +4,7 @@
 import eiderscale.Api.Reason;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -27,9 +28,9 @@
  * attempt that is given up then costs no other request its connection. Nothing is ever sent again here.
  */
 final class HostPool {
-    /** Hears how attempts end, but for those that it abandoned itself. */
+    /** Hears how attempts end, but for those that it abandoned itself; {@code value}: what is still coming, or null. */
     interface Listener {
-        void onAnswer(Attempt attempt, Reason reason, MetaFrame answer);
+        void onAnswer(Attempt attempt, Reason reason, MetaFrame answer, ValueStream value);
     }
 
     /** Part of the hosts' idle time after which a connection is retired: a request that crossed the close
@@ -38,6 +39,8 @@
     /** Taken off the drain grace, for the way of the last byte. */
     private static final long GRACE_MARGIN = 100 * Clock.MILLISECOND;
     private static final long NEVER = Long.MAX_VALUE;
+    /** Bytes of one read, the most that a paused value leaves waiting. */
+    private static final int MOST_READ = 16 * 1024;
 
     /** A cache host and what of it is free. */
     private static final class Host {
@@ -71,7 +74,8 @@
         this.mostLinks = mostLinks;
         this.listener = listener;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true);
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 2048, MOST_READ));
     }
 
     /** Applies a list before the module sees it, so that every host it may name is known here. */
@@ -131,7 +135,7 @@
     void send(Attempt attempt, long server) {
         Host host = hosts.get(server);
         if (host == null || Clock.now() >= host.sendUntil) {
-            listener.onAnswer(attempt, Reason.MOOT, null);
+            listener.onAnswer(attempt, Reason.MOOT, null, null);
             return;
         }
         Link link = host.idle.peekLast();
@@ -146,7 +150,7 @@
         } else if (links >= mostLinks && !evict()) {
             // No room here is not the host's fault: told as 'not sent', which blames nobody and refuses.
             counters.localRefusals++;
-            listener.onAnswer(attempt, Reason.MOOT, null);
+            listener.onAnswer(attempt, Reason.MOOT, null, null);
         } else {
             new Link(host).connect(attempt);
         }
@@ -214,7 +218,7 @@
     }
 
     /** One connection, its states in order: coming up, then idle or carrying an attempt, then closed. */
-    final class Link extends SimpleChannelInboundHandler<MetaFrame> {
+    final class Link extends SimpleChannelInboundHandler<Object> implements ValueStream.Source {
         private final Host host;
         private final MetaDecoder decoder = MetaDecoder.ofAnswers(budget);
         private Channel channel;
@@ -222,6 +226,8 @@
         /** The write of the present attempt; done when its last byte has left. */
         private ChannelFuture sent;
         private long idleSince;
+        /** The long value that is coming in; its attempt has ended. */
+        private ValueStream value;
         /** Its answer has come and the read that brought it is not over. */
         private boolean answered;
         private boolean counted;
@@ -289,7 +295,46 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, MetaFrame answer) {
+        protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+            if (message instanceof ByteBuf piece) {
+                if (value != null) {
+                    value.piece(piece.retain());
+                }
+            } else if (value == null) {
+                take((MetaFrame) message);
+            } else if (message == MetaFrame.END) {
+                ValueStream whole = value;
+                value = null;
+                answered = true;
+                channel.config().setAutoRead(true);
+                whole.end();
+            } else {
+                // The block does not end where it should.
+                channel.close();
+                breakValue();
+            }
+        }
+
+        private void breakValue() {
+            if (value != null) {
+                ValueStream broken = value;
+                value = null;
+                broken.broken();
+            }
+        }
+
+        @Override
+        public void demand(boolean more) {
+            channel.config().setAutoRead(more);
+        }
+
+        @Override
+        public void cancel() {
+            value = null;
+            channel.close();
+        }
+
+        private void take(MetaFrame answer) {
             if (attempt == null) {
                 // Nobody asked: what follows on this connection cannot be told apart any more.
                 retire();
@@ -311,7 +356,7 @@
          */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (attempt != null) {
+            if (attempt != null || value != null) {
                 return;
             }
             if (!decoder.isClean()) {
@@ -340,11 +385,15 @@
             Attempt ended = attempt;
             release();
             sent = null;
-            answered = !close;
+            if (!close && answer.streamed()) {
+                value = new ValueStream(this);
+            } else {
+                answered = !close;
+            }
             if (close) {
                 channel.close();
             }
-            listener.onAnswer(ended, reason, answer);
+            listener.onAnswer(ended, reason, answer, value);
         }
 
         private void goIdle() {
@@ -394,12 +443,13 @@
         private void lost() {
             leaveIdle();
             uncount();
+            breakValue();
             if (attempt != null) {
                 // Before its last byte has left a request cannot run; after that it may have.
                 Reason reason = written() ? Reason.RESET : Reason.CONNECT_FAILED;
                 Attempt ended = attempt;
                 release();
-                listener.onAnswer(ended, reason, null);
+                listener.onAnswer(ended, reason, null, null);
             }
         }
     }
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -27,15 +27,19 @@
 
     private final String dataWord;
     private final int lengthAt;
+    private final int mostValue;
     private final Budget budget;
     /** The line whose data block is coming in, null between frames. */
     private List<String> words;
     private byte[] data;
     private int length;
     private int filled;
+    /** The data block is handed on piece by piece. */
+    private boolean streaming;
     private boolean broken;
 
-    private MetaDecoder(String dataWord, int lengthAt, Budget budget) {
+    private MetaDecoder(String dataWord, int lengthAt, int mostValue, Budget budget) {
+        this.mostValue = mostValue;
         this.dataWord = dataWord;
         this.lengthAt = lengthAt;
         this.budget = budget;
@@ -43,12 +47,12 @@
 
     /** Reads what clients send: {@code ms} brings data. */
     static MetaDecoder ofCommands(Budget budget) {
-        return new MetaDecoder("ms", 2, budget);
+        return new MetaDecoder("ms", 2, MetaFrame.MOST_GATHERED, budget);
     }
 
     /** Reads what cache hosts answer: {@code VA} brings data. */
     static MetaDecoder ofAnswers(Budget budget) {
-        return new MetaDecoder("VA", 1, budget);
+        return new MetaDecoder("VA", 1, MetaFrame.MOST_VALUE, budget);
     }
 
     /** Whether the stream stands right between two frames, with not a byte of the next one here. */
@@ -60,6 +64,8 @@
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (broken) {
             in.skipBytes(in.readableBytes());
+        } else if (streaming) {
+            readPiece(in, out);
         } else if (words != null) {
             readData(in, out);
         } else {
@@ -123,16 +129,39 @@
         String text = tokens.size() > lengthAt ? tokens.get(lengthAt) : "";
         if (text.isEmpty() || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
             breakOff(BAD_CHUNK, in, out);
-        } else if (text.length() > MOST_DIGITS || Integer.parseInt(text) > MetaFrame.MOST_VALUE) {
+        } else if (text.length() > MOST_DIGITS || Integer.parseInt(text) > mostValue) {
             breakOff("CLIENT_ERROR value too large", in, out);
         } else {
             words = tokens;
             length = Integer.parseInt(text);
             data = new byte[0];
             filled = 0;
+            streaming = length > MetaFrame.MOST_GATHERED;
+            if (streaming) {
+                out.add(MetaFrame.streamed(tokens));
+            }
+        }
+    }
+
+    private void readPiece(ByteBuf in, List<Object> out) {
+        int some = Math.min(length - filled, in.readableBytes());
+        if (some > 0) {
+            filled += some;
+            out.add(in.readRetainedSlice(some));
+        } else if (filled == length && in.readableBytes() >= CRLF) {
+            if (endsBlock(in)) {
+                dropData();
+                out.add(MetaFrame.END);
+            } else {
+                breakOff(BAD_CHUNK, in, out);
+            }
         }
     }
 
+    private static boolean endsBlock(ByteBuf in) {
+        return in.readByte() == '\r' & in.readByte() == '\n';
+    }
+
     private void readData(ByteBuf in, List<Object> out) {
         int some = Math.min(length - filled, in.readableBytes());
         if (filled + some > data.length && !grow(filled + some)) {
@@ -144,7 +173,7 @@
         if (filled < length || in.readableBytes() < CRLF) {
             return;
         }
-        if (in.readByte() != '\r' || in.readByte() != '\n') {
+        if (!endsBlock(in)) {
             breakOff(BAD_CHUNK, in, out);
             return;
         }
@@ -166,6 +195,7 @@
             budget.giveBack(data.length);
             words = null;
             data = null;
+            streaming = false;
         }
     }
 
--- a/src/main/java/eiderscale/net/MetaFrame.java
+++ b/src/main/java/eiderscale/net/MetaFrame.java
@@ -3,20 +3,29 @@
 import java.util.List;
 
 /**
- * One line of the meta protocol with its data block, in either direction. Where {@code fault} is set the
+ * One line of the meta protocol with its data block, in either direction. The data of a {@code streamed} frame come
+ * behind it, piece by piece, up to {@link #END}. Where {@code fault} is set the
  * line broke the protocol and {@code fault} is what its sender should be told. Behind a {@code last} frame
  * nobody knows where the next line begins: nothing that follows may be read as one.
  */
-record MetaFrame(List<String> words, byte[] data, String fault, boolean last) {
+record MetaFrame(List<String> words, byte[] data, String fault, boolean last, boolean streamed) {
     /** Values may hold so many bytes. */
-    static final int MOST_VALUE = 64 * 1024;
+    static final int MOST_VALUE = 4 * 1024 * 1024;
+    /** Those up to here are gathered before they are passed on. */
+    static final int MOST_GATHERED = 64 * 1024;
+    /** Stands behind the last piece of a streamed frame's data. */
+    static final MetaFrame END = new MetaFrame(List.of(), null, null, false, false);
 
     static MetaFrame of(List<String> words, byte[] data) {
-        return new MetaFrame(words, data, null, false);
+        return new MetaFrame(words, data, null, false, false);
     }
 
     static MetaFrame fault(String answer, boolean last) {
-        return new MetaFrame(List.of(), null, answer, last);
+        return new MetaFrame(List.of(), null, answer, last, false);
+    }
+
+    static MetaFrame streamed(List<String> words) {
+        return new MetaFrame(words, null, null, false, true);
     }
 
     boolean is(int at, String word) {
