Pace cold caches by what warm ones serve, not only by the balancer's own sends

The slow start's budget was a part of the balancer's own sends; the more was shed, the less it allowed, so the fleet could not recover.

Design: a cold host's budget is its share of capacity times the larger of the old figure and a part of what the busiest warm host is seen to serve, which no shedding lowers and which is at most what a host can do. Its keys grow twice as fast as its capacity, as hosts are seldom full. Skipped: counting offered requests. Retries multiply just when the fleet is weak.

--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -14,6 +14,10 @@
     /** Fall times over which our send rate is averaged, and the part of one that may be sent at once. */
     private static final double RATE_WINDOWS = 4;
     private static final double BURST = 0.25;
+    /** Likewise of what the busiest warm host is seen to serve: at most what it can do. */
+    private static final double SERVED_MARGIN = 0.4;
+    /** Keys given to a cold host, for each that it could take at full load: hosts are seldom that full. */
+    private static final double KEY_ROOM = 2;
     private static final double FAILING_WEIGHT = 0.02;
     /** Share of attempts without a connection from which on idle ones are given up: dead hosts are fewer. */
     static final double CROWDED = 0.1;
@@ -37,6 +41,9 @@
         double latency;
         /** Start of the slow start, 0 if warm. */
         long coldSince;
+        /** Its answers lately, older ones counting less. */
+        private double served;
+        private long servedAt;
         /** Sends that its slow start allows, as of {@code filledAt}. */
         private double tokens;
         private long filledAt;
@@ -67,6 +74,9 @@
     /** First sends to caches wanted lately, older ones counting less. */
     private double searches;
     private long searchedAt;
+    /** What the busiest warm host served in a fall time lately, and when it did. */
+    private double mostServed;
+    private long mostServedAt;
     /** Share of late attempts that got no connection. Guards against idle connections that fill tables. */
     double connectFailures;
     /** Share of late attempts that failed after they may have run, over all hosts. */
@@ -178,18 +188,20 @@
             return true;
         }
         // The same keys at every balancer, so that all of them together stay within the share.
-        return ((hash & 2047) < share * 2048 || panic) && withinBudget(now, host, share);
+        return ((hash & 2047) < share * KEY_ROOM * 2048 || panic) && withinBudget(now, host, share);
     }
 
     /**
      * Slow start: a token bucket fed with the host's portion of our own sends, so that all balancers together
      * stay within what the cold host can do, however hot its keys are. It starts at a random level, lest many
-     * balancers with few requests each send their first one at once.
+     * balancers with few requests each send their first one at once. Where much is shed, what warm hosts
+     * serve tells more than our own sends: by those alone, cold hosts stood idle beside full ones.
      */
     private boolean withinBudget(long now, Host host, double share) {
         // A live weight makes an idle newcomer look many times its size: it counts as average at most.
         double portion = Math.min(host.weight / Math.max(totalWeight, 1e-9), 1.0 / Math.max(1, cacheCount));
-        double perWindow = share * settings.tipMultiple() * FALL_MARGIN * searches / RATE_WINDOWS * portion;
+        double bySends = FALL_MARGIN * searches / RATE_WINDOWS * portion;
+        double perWindow = share * settings.tipMultiple() * Math.max(bySends, SERVED_MARGIN * mostServed);
         double most = Math.max(1, perWindow * BURST);
         host.tokens += perWindow * (now - host.filledAt) / settings.fallTime();
         host.tokens = Math.min(most, host.tokens);
@@ -225,6 +237,9 @@
         if (isOrigin(host)) {
             return;
         }
+        if (reason.answered() && host.coldSince == 0) {
+            served(now, host);
+        }
         if (reason.answered() || failed) {
             failing += FAILING_WEIGHT * ((failed ? 1 : 0) - failing);
         }
@@ -239,6 +254,17 @@
         host.trial = false;
     }
 
+    private void served(long now, Host host) {
+        double span = RATE_WINDOWS * settings.fallTime();
+        host.served = 1 + host.served * Math.exp((host.servedAt - now) / span);
+        host.servedAt = now;
+        double perWindow = host.served / RATE_WINDOWS;
+        if (perWindow >= mostServed || now - mostServedAt > settings.fallTime()) {
+            mostServed = perWindow;
+            mostServedAt = now;
+        }
+    }
+
     private static void close(Host host) {
         host.evidence = 0;
         host.openUntil = 0;
--- a/src/test/java/eiderscale/RulesTest.java
+++ b/src/test/java/eiderscale/RulesTest.java
@@ -322,4 +322,44 @@
         bed.outcome(3, 0, Reason.ERROR);
         assertEquals(4, bed.sends.size());
     }
+
+    /** Others are seldom so full that a host half warm could not take every key: what it gets is paced alone. */
+    @Test
+    void aHalfWarmHostTakesEveryKeyAndAColdOneFew() {
+        Api.Settings settings = new Bed.SettingsBuilder().build();
+        long now = 1_000_000 * Bed.MS;
+        for (long age : new long[] {0, 5_000}) {
+            HostHealth health = new HostHealth(settings, 7);
+            health.onList(now, Api.ListMode.FULL, List.of(Bed.server(1, Api.State.READY, now - age * Bed.MS)));
+            long admitted = 0;
+            for (int i = 1; i <= 100; i++) {
+                health.wanted(now + i * 20 * Bed.MS);
+                admitted += health.admits(now + i * 20 * Bed.MS, health.caches[0], 2047) ? 1 : 0;
+            }
+            assertEquals(age > 0, admitted > 50, "age " + age + ", admitted " + admitted);
+        }
+    }
+
+    /** While most is shed a balancer's own sends are few; what warm hosts serve shows what a cold one can take. */
+    @Test
+    void aColdHostIsPacedByWhatWarmOnesServe() {
+        Api.Settings settings = new Bed.SettingsBuilder().build();
+        HostHealth health = new HostHealth(settings, 7);
+        long now = 1_000_000 * Bed.MS;
+        health.onList(now, Api.ListMode.FULL, List.of(Bed.server(1), Bed.server(2, Api.State.READY, now)));
+        HostHealth.Host warm = health.caches[0];
+        HostHealth.Host cold = health.caches[1];
+        int sent = 0;
+        for (int i = 0; i < 400; i++) {
+            now += 10 * Bed.MS;
+            health.onSend(now, warm);
+            health.onEnd(now, warm, Reason.OK, 0, false);
+            if (health.admits(now, cold, 0)) {
+                health.onSend(now, cold);
+                sent++;
+            }
+        }
+        // 100 a second are served, the cold one can do a fifth at first: 4 s at 20 or somewhat more.
+        assertTrue(sent > 60 && sent < 4 * 100, "sent " + sent);
+    }
 }
