Allow for how short a time a new process has counted in slow start

The counts behind a cold host's budget are means over four seconds that begin at zero, so a process that takes over kept cold hosts waiting once more (seen in the per-second log: 2 requests a second for hosts warm to a third). They are now divided by the part of the mean that has been seen. Skipped: handing the counts over through the shared folder, as a mean of one second does.

--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -74,6 +74,8 @@
     /** First sends to caches wanted lately, older ones counting less. */
     private double searches;
     private long searchedAt;
+    /** The first of them. */
+    private long begunAt;
     /** What the busiest warm host served in a fall time lately, and when it did. */
     private double mostServed;
     private long mostServedAt;
@@ -201,16 +203,27 @@
         // A live weight makes an idle newcomer look many times its size: it counts as average at most.
         double portion = Math.min(host.weight / Math.max(totalWeight, 1e-9), 1.0 / Math.max(1, cacheCount));
         double bySends = FALL_MARGIN * searches / RATE_WINDOWS * portion;
-        double perWindow = share * settings.tipMultiple() * Math.max(bySends, SERVED_MARGIN * mostServed);
-        double most = Math.max(1, perWindow * BURST);
+        double most = Math.max(bySends, SERVED_MARGIN * mostServed) / seenPart(now);
+        double perWindow = share * settings.tipMultiple() * most;
+        double burst = Math.max(1, perWindow * BURST);
         host.tokens += perWindow * (now - host.filledAt) / settings.fallTime();
-        host.tokens = Math.min(most, host.tokens);
+        host.tokens = Math.min(burst, host.tokens);
         host.filledAt = now;
         return host.tokens >= (panic ? 0 : 1);
     }
 
+    /**
+     * What part of a mean a balancer has seen that began lately. Guards against one that takes over from
+     * another process and has cold hosts wait until its own counts have grown.
+     */
+    private double seenPart(long now) {
+        double seen = Math.max(1, (double) (now - begunAt) / settings.fallTime());
+        return 1 - Math.exp(-seen / RATE_WINDOWS);
+    }
+
     /** A cache is wanted for a request's first send; retries, which multiply in trouble, do not count. */
     void wanted(long now) {
+        begunAt = begunAt == 0 ? now : begunAt;
         searches = 1 + searches * Math.exp((searchedAt - now) / (RATE_WINDOWS * settings.fallTime()));
         searchedAt = now;
     }
--- a/src/test/java/eiderscale/RulesTest.java
+++ b/src/test/java/eiderscale/RulesTest.java
@@ -362,4 +362,23 @@
         // 100 a second are served, the cold one can do a fifth at first: 4 s at 20 or somewhat more.
         assertTrue(sent > 60 && sent < 4 * 100, "sent " + sent);
     }
+
+    /** A balancer that has just begun has counted little; that must not keep cold hosts idle. */
+    @Test
+    void aNewBalancersFirstCountsStandForAWholeMean() {
+        HostHealth health = new HostHealth(new Bed.SettingsBuilder().build(), 7);
+        long now = 1_000_000 * Bed.MS;
+        health.onList(now, Api.ListMode.FULL, List.of(Bed.server(1),
+                Bed.server(2, Api.State.READY, now - 5_000 * Bed.MS)));
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            now += 10 * Bed.MS;
+            health.wanted(now);
+            if (health.admits(now, health.caches[1], 0)) {
+                health.onSend(now, health.caches[1]);
+                sent++;
+            }
+        }
+        assertTrue(sent > 20 && sent < 100, "of 100, half of which are the half warm one's part: " + sent);
+    }
 }
