Weigh a rejection as two and a half quick answers, not three, when shedding

Rejections by a fifth of the hosts were enough to shed. Ruled out: late calls, CPU, and cold hosts (none were in use when it began).

--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -18,7 +18,7 @@
     /** Part of the aim after which a request that is still out is a sign of overload. */
     private static final double SLOW = 0.45;
     /** What a rejection and a slow request say of the load, where a quick answer says 1. */
-    static final double REJECTION = -3;
+    static final double REJECTION = -2.5;
     static final double SLOWNESS = -1;
     private static final double LEAST_ADMITTED = 0.05;
     /** Part of the longest wait told to a refused client that is told to each of them. */
