Part the program into Maven modules under frostrelay: policy, node, adapter

The packages were named after two other programs and one jar held all, so nothing showed what may use what. No behaviour changes.

--- a/src/main/java/eiderscale/sim/Adapter.java
+++ b/adapter/src/main/java/frostrelay/adapter/Adapter.java
@@ -1,7 +1,9 @@
-package eiderscale.sim;
+package frostrelay.adapter;
 
-import eiderscale.Api;
-import eiderscale.Router;
+import frostrelay.policy.Api;
+import frostrelay.policy.Router;
+import frostrelay.settings.SettingsException;
+import frostrelay.settings.SettingsParser;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -119,10 +121,18 @@
         }
     }
 
+    private static Api.Settings settings(String text) {
+        try {
+            return SettingsParser.parse(text);
+        } catch (SettingsException e) {
+            throw new WireException(e.getMessage());
+        }
+    }
+
     private void start(int at, int balancer) {
         int[] range = tailRange(at + 13, 1);
         String text = new String(frame.array(), range[0], range[1], StandardCharsets.UTF_8);
-        Api.Settings settings = SettingsParser.parse(text);
+        Api.Settings settings = settings(text);
         if (settings.classes().isEmpty()) {
             throw new WireException("settings of balancer " + balancer + " name no request class");
         }
--- a/src/main/java/eiderscale/sim/Main.java
+++ b/adapter/src/main/java/frostrelay/adapter/Main.java
@@ -1,4 +1,4 @@
-package eiderscale.sim;
+package frostrelay.adapter;
 
 import java.io.BufferedInputStream;
 import java.io.FileInputStream;
@@ -19,7 +19,7 @@
     /** Exits 0 at a clean end of input, 1 on input that breaks the wire's rules or a wrong argument. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("eiderscale: usage: java -jar eiderscale.jar adapter");
+            System.err.println("frostrelay: usage: java -jar frostrelay-adapter.jar adapter");
             System.exit(1);
         }
         InputStream in = new BufferedInputStream(new FileInputStream(FileDescriptor.in), BUFFER);
@@ -34,9 +34,9 @@
             new Adapter(in, out).run();
             return 0;
         } catch (WireException e) {
-            err.println("eiderscale: malformed input: " + e.getMessage());
+            err.println("frostrelay: malformed input: " + e.getMessage());
         } catch (IOException e) {
-            err.println("eiderscale: cannot read or write the wire: " + e.getMessage());
+            err.println("frostrelay: cannot read or write the wire: " + e.getMessage());
         }
         return 1;
     }
--- a/src/main/java/eiderscale/sim/ReplyWriter.java
+++ b/adapter/src/main/java/frostrelay/adapter/ReplyWriter.java
@@ -1,6 +1,6 @@
-package eiderscale.sim;
+package frostrelay.adapter;
 
-import eiderscale.Api;
+import frostrelay.policy.Api;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
--- a/src/main/java/eiderscale/sim/WireException.java
+++ b/adapter/src/main/java/frostrelay/adapter/WireException.java
@@ -1,4 +1,4 @@
-package eiderscale.sim;
+package frostrelay.adapter;
 
 /** The input breaks the wire's rules. */
 final class WireException extends RuntimeException {
--- a/src/test/java/eiderscale/sim/AdapterTest.java
+++ b/adapter/src/test/java/frostrelay/adapter/AdapterTest.java
@@ -1,12 +1,10 @@
-package eiderscale.sim;
+package frostrelay.adapter;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import eiderscale.Api;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
@@ -151,30 +149,6 @@
         });
     }
 
-    @Test
-    void missingSettingsGetSafeDefaults() {
-        Api.Settings settings = SettingsParser.parse("categories.count=1\n");
-        assertEquals(Api.Effect.FRAGILE, settings.classes().get(0).effect());
-        assertEquals(1, settings.maxAttempts());
-        assertTrue(!settings.mayDuplicate() && !settings.mayCancel() && !settings.aside());
-    }
-
-    @Test
-    void settingsThatAreNoNumbersAreErrors() {
-        for (String line : new String[] {"categories.count=x", "rank=NaN", "guarantees.tip-multiple=Infinity",
-            "categories.count=-1", "guarantees.resend-span-ns=soon"}) {
-            assertThrows(WireException.class, () -> SettingsParser.parse("n-instances=1\n" + line + "\n"), line);
-        }
-    }
-
-    @Test
-    void anEmptyBudgetAllowsNothingAndAnAbsentOneIsNone() {
-        assertEquals(null, SettingsParser.parse("categories.count=1\n").budget());
-        Api.Budget empty = SettingsParser.parse("categories.count=1\nguarantees.repeat-ratio=\n").budget();
-        assertEquals(0, empty.free() + empty.share());
-        assertTrue(SettingsParser.parse("guarantees.key-quiet-ns=\n").keyQuiet() > 0, "a key rests");
-    }
-
     @Test
     void unknownConditionsAndOutcomesAreErrors() {
         byte[] start = session();
--- a/src/main/java/eiderscale/console/Answer.java
+++ b/node/src/main/java/frostrelay/console/Answer.java
@@ -1,4 +1,4 @@
-package eiderscale.console;
+package frostrelay.console;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
--- a/src/main/java/eiderscale/console/Calls.java
+++ b/node/src/main/java/frostrelay/console/Calls.java
@@ -1,4 +1,4 @@
-package eiderscale.console;
+package frostrelay.console;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import io.netty.channel.EventLoop;
--- a/src/main/java/eiderscale/console/ConsoleServer.java
+++ b/node/src/main/java/frostrelay/console/ConsoleServer.java
@@ -1,4 +1,4 @@
-package eiderscale.console;
+package frostrelay.console;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
--- a/src/main/java/eiderscale/console/Operations.java
+++ b/node/src/main/java/frostrelay/console/Operations.java
@@ -1,4 +1,4 @@
-package eiderscale.console;
+package frostrelay.console;
 
 import io.netty.util.concurrent.Future;
 
--- a/src/main/java/eiderscale/lifecycle/Departure.java
+++ b/node/src/main/java/frostrelay/lifecycle/Departure.java
@@ -1,4 +1,4 @@
-package eiderscale.lifecycle;
+package frostrelay.lifecycle;
 
 /**
  * The timetable by which clients are sent away, for a drain or before an end. A connection closes behind the next
--- a/src/main/java/eiderscale/lifecycle/HoldStore.java
+++ b/node/src/main/java/frostrelay/lifecycle/HoldStore.java
@@ -1,4 +1,4 @@
-package eiderscale.lifecycle;
+package frostrelay.lifecycle;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
--- a/src/main/java/eiderscale/lifecycle/SharedFolder.java
+++ b/node/src/main/java/frostrelay/lifecycle/SharedFolder.java
@@ -1,4 +1,4 @@
-package eiderscale.lifecycle;
+package frostrelay.lifecycle;
 
 import java.io.IOException;
 import java.nio.file.Path;
--- a/src/main/java/eiderscale/net/Attempt.java
+++ b/node/src/main/java/frostrelay/node/Attempt.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import io.netty.util.concurrent.Future;
 
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -1,8 +1,8 @@
-package eiderscale.net;
+package frostrelay.node;
 
-import eiderscale.Api;
-import eiderscale.Api.Reason;
-import eiderscale.lifecycle.SharedFolder;
+import frostrelay.policy.Api;
+import frostrelay.policy.Api.Reason;
+import frostrelay.lifecycle.SharedFolder;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.HashMap;
--- a/src/main/java/eiderscale/net/Budget.java
+++ b/node/src/main/java/frostrelay/node/Budget.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 /**
  * Bytes of values that may be held at one time, those of open requests and those still coming in alike. What
--- a/src/main/java/eiderscale/net/Catalog.java
+++ b/node/src/main/java/frostrelay/node/Catalog.java
@@ -1,6 +1,6 @@
-package eiderscale.net;
+package frostrelay.node;
 
-import eiderscale.Api;
+import frostrelay.policy.Api;
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/node/src/main/java/frostrelay/node/ClientServer.java
@@ -1,6 +1,6 @@
-package eiderscale.net;
+package frostrelay.node;
 
-import eiderscale.lifecycle.Departure;
+import frostrelay.lifecycle.Departure;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/eiderscale/net/Clock.java
+++ b/node/src/main/java/frostrelay/node/Clock.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 /**
  * The program's clock, in nanoseconds: the monotonic clock moved once onto Unix time. One fixed offset
--- a/src/main/java/eiderscale/net/Command.java
+++ b/node/src/main/java/frostrelay/node/Command.java
@@ -1,6 +1,6 @@
-package eiderscale.net;
+package frostrelay.node;
 
-import eiderscale.Api;
+import frostrelay.policy.Api;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/eiderscale/net/ConfigCheck.java
+++ b/node/src/main/java/frostrelay/node/ConfigCheck.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/eiderscale/net/ConfigException.java
+++ b/node/src/main/java/frostrelay/node/ConfigException.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 /** The configuration, or a list from discovery, is not what the deployment promises. */
 final class ConfigException extends RuntimeException {
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/node/src/main/java/frostrelay/node/Counters.java
@@ -1,6 +1,6 @@
-package eiderscale.net;
+package frostrelay.node;
 
-import eiderscale.Api.Reason;
+import frostrelay.policy.Api.Reason;
 import java.util.Locale;
 
 /** Sparse counts on standard error, to find causes by: how requests and attempts end, and how late we run. */
--- a/src/main/java/eiderscale/net/CurrentSite.java
+++ b/node/src/main/java/frostrelay/node/CurrentSite.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 /** The settings that hold now: one value, swapped whole, so that nothing ever goes by half of the new ones. */
 final class CurrentSite {
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/node/src/main/java/frostrelay/node/Discovery.java
@@ -1,6 +1,6 @@
-package eiderscale.net;
+package frostrelay.node;
 
-import eiderscale.Api.ListMode;
+import frostrelay.policy.Api.ListMode;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/node/src/main/java/frostrelay/node/HostPool.java
@@ -1,7 +1,7 @@
-package eiderscale.net;
+package frostrelay.node;
 
-import eiderscale.Api;
-import eiderscale.Api.Reason;
+import frostrelay.policy.Api;
+import frostrelay.policy.Api.Reason;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
--- a/src/main/java/eiderscale/net/Json.java
+++ b/node/src/main/java/frostrelay/node/Json.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
--- a/src/main/java/eiderscale/net/LibraryLog.java
+++ b/node/src/main/java/frostrelay/node/LibraryLog.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -11,7 +11,7 @@
  */
 final class LibraryLog extends Handler {
     private static final int MOST_LINES = 100;
-    private static final String OWN = "eiderscale.";
+    private static final String OWN = "frostrelay.";
     private int lines;
 
     private LibraryLog() {
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/node/src/main/java/frostrelay/node/MetaDecoder.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/eiderscale/net/MetaFrame.java
+++ b/node/src/main/java/frostrelay/node/MetaFrame.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import java.util.List;
 
--- a/src/main/java/eiderscale/net/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -1,11 +1,11 @@
-package eiderscale.net;
-
-import eiderscale.Api;
-import eiderscale.console.ConsoleServer;
-import eiderscale.console.Operations;
-import eiderscale.lifecycle.Departure;
-import eiderscale.lifecycle.SharedFolder;
-import eiderscale.lifecycle.Usage;
+package frostrelay.node;
+
+import frostrelay.policy.Api;
+import frostrelay.console.ConsoleServer;
+import frostrelay.console.Operations;
+import frostrelay.lifecycle.Departure;
+import frostrelay.lifecycle.SharedFolder;
+import frostrelay.lifecycle.Usage;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
--- a/src/main/java/eiderscale/net/Site.java
+++ b/node/src/main/java/frostrelay/node/Site.java
@@ -1,7 +1,7 @@
-package eiderscale.net;
+package frostrelay.node;
 
-import eiderscale.Api;
-import eiderscale.sim.SettingsParser;
+import frostrelay.policy.Api;
+import frostrelay.settings.SettingsParser;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/eiderscale/console/ConsoleServerTest.java
+++ b/node/src/test/java/frostrelay/console/ConsoleServerTest.java
@@ -1,4 +1,4 @@
-package eiderscale.console;
+package frostrelay.console;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/eiderscale/lifecycle/HoldStoreTest.java
+++ b/node/src/test/java/frostrelay/lifecycle/HoldStoreTest.java
@@ -1,4 +1,4 @@
-package eiderscale.lifecycle;
+package frostrelay.lifecycle;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/eiderscale/net/ConnectingTest.java
+++ b/node/src/test/java/frostrelay/node/ConnectingTest.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -97,7 +97,7 @@
                 ServingTest.awaitGauge(rig, " links 1 ");
                 Catalog drained = Catalog.parse(Json.parse(("{\"rev\":8,\"all\":false,\"targets\":["
                         + host.target().replace("Ready", "Terminating") + "]}").getBytes()), rig.site());
-                rig.loop.submit(() -> rig.node.onList(eiderscale.Api.ListMode.DELTA, drained.members())).get();
+                rig.loop.submit(() -> rig.node.onList(frostrelay.policy.Api.ListMode.DELTA, drained.members())).get();
                 try (Peer peer = host.accept()) {
                     assertEquals("SERVER_ERROR busy", client.line());
                     assertEquals(null, peer.line(), "closed without a command");
--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/node/src/test/java/frostrelay/node/DiscoveryTest.java
@@ -1,9 +1,9 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import eiderscale.Api;
+import frostrelay.policy.Api;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/eiderscale/net/OperationsTest.java
+++ b/node/src/test/java/frostrelay/node/OperationsTest.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/eiderscale/net/OrderTest.java
+++ b/node/src/test/java/frostrelay/node/OrderTest.java
@@ -1,12 +1,12 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import eiderscale.Api;
-import eiderscale.Api.Reason;
+import frostrelay.policy.Api;
+import frostrelay.policy.Api.Reason;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
--- a/src/test/java/eiderscale/net/OwnLatenessTest.java
+++ b/node/src/test/java/frostrelay/node/OwnLatenessTest.java
@@ -1,10 +1,10 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import eiderscale.Api;
-import eiderscale.Router;
+import frostrelay.policy.Api;
+import frostrelay.policy.Router;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
--- a/src/test/java/eiderscale/net/Peer.java
+++ b/node/src/test/java/frostrelay/node/Peer.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
--- a/src/test/java/eiderscale/net/ReloadTest.java
+++ b/node/src/test/java/frostrelay/node/ReloadTest.java
@@ -1,11 +1,11 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import eiderscale.Api;
+import frostrelay.policy.Api;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/eiderscale/net/Rig.java
+++ b/node/src/test/java/frostrelay/node/Rig.java
@@ -1,7 +1,7 @@
-package eiderscale.net;
+package frostrelay.node;
 
-import eiderscale.Router;
-import eiderscale.lifecycle.SharedFolder;
+import frostrelay.policy.Router;
+import frostrelay.lifecycle.SharedFolder;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
--- a/src/test/java/eiderscale/net/Scripted.java
+++ b/node/src/test/java/frostrelay/node/Scripted.java
@@ -1,6 +1,6 @@
-package eiderscale.net;
+package frostrelay.node;
 
-import eiderscale.Api;
+import frostrelay.policy.Api;
 import java.util.List;
 import java.util.Set;
 
--- a/src/test/java/eiderscale/net/StopTest.java
+++ b/node/src/test/java/frostrelay/node/StopTest.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package frostrelay.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -71,7 +71,7 @@
     private static Process start(String config, Path shared) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-cp", System.getProperty("java.class.path"),
-                "eiderscale.net.Main");
+                "frostrelay.node.Main");
         builder.environment().remove("GW_CONFIG");
         builder.environment().put("TMPDIR", shared.toString());
         if (config != null) {
@@ -133,7 +133,7 @@
             Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:" + port));
             ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n 96; exec \"$0\" \"$@\"",
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                    "-cp", System.getProperty("java.class.path"), "eiderscale.net.Main");
+                    "-cp", System.getProperty("java.class.path"), "frostrelay.node.Main");
             builder.environment().put("GW_CONFIG", config.toString());
             Process process = builder.start();
             try {
--- a/src/main/java/eiderscale/Admission.java
+++ b/policy/src/main/java/frostrelay/policy/Admission.java
@@ -1,6 +1,6 @@
-package eiderscale;
+package frostrelay.policy;
 
-import eiderscale.Api.*;
+import frostrelay.policy.Api.*;
 import java.util.Arrays;
 
 /** What is turned away before any work is done, and how hard the fleet looks pressed from here. */
--- a/src/main/java/eiderscale/Candidates.java
+++ b/policy/src/main/java/frostrelay/policy/Candidates.java
@@ -1,6 +1,6 @@
-package eiderscale;
+package frostrelay.policy;
 
-import eiderscale.HostHealth.Host;
+import frostrelay.policy.HostHealth.Host;
 
 /** Weighted rendezvous hashing: the few hosts that a key lives on. */
 final class Candidates {
--- a/src/main/java/eiderscale/Hedging.java
+++ b/policy/src/main/java/frostrelay/policy/Hedging.java
@@ -1,8 +1,8 @@
-package eiderscale;
+package frostrelay.policy;
 
 import com.tdunning.math.stats.MergingDigest;
 import com.tdunning.math.stats.TDigest;
-import eiderscale.Api.Budget;
+import frostrelay.policy.Api.Budget;
 import java.util.*;
 
 /** When a copy of a slow read goes out, a quantile of recent served latencies, and what may be repeated. */
--- a/src/main/java/eiderscale/HostHealth.java
+++ b/policy/src/main/java/frostrelay/policy/HostHealth.java
@@ -1,6 +1,6 @@
-package eiderscale;
+package frostrelay.policy;
 
-import eiderscale.Api.*;
+import frostrelay.policy.Api.*;
 import java.util.*;
 
 /** What this balancer knows of each host: the list's word, our requests in flight, breaker, slow start. */
--- a/src/main/java/eiderscale/Router.java
+++ b/policy/src/main/java/frostrelay/policy/Router.java
@@ -1,7 +1,7 @@
-package eiderscale;
+package frostrelay.policy;
 
-import eiderscale.Api.*;
-import eiderscale.HostHealth.Host;
+import frostrelay.policy.Api.*;
+import frostrelay.policy.HostHealth.Host;
 import java.util.*;
 
 /** The decision module: the life of each request and the rules. Its interface is Api.java. */
--- a/src/main/java/eiderscale/sim/SettingsParser.java
+++ b/policy/src/main/java/frostrelay/settings/SettingsParser.java
@@ -1,6 +1,6 @@
-package eiderscale.sim;
+package frostrelay.settings;
 
-import eiderscale.Api;
+import frostrelay.policy.Api;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -96,7 +96,7 @@
     private int count(String key) {
         long n = whole(key, 0);
         if (n < 0 || n > MOST_ITEMS) {
-            throw new WireException("setting " + key + " has an impossible value: " + n);
+            throw new SettingsException("setting " + key + " has an impossible value: " + n);
         }
         return (int) n;
     }
@@ -131,6 +131,6 @@
         } catch (NumberFormatException e) {
             // Told below, as for numbers that are not finite.
         }
-        throw new WireException("setting " + key + " is no number: " + value);
+        throw new SettingsException("setting " + key + " is no number: " + value);
     }
 }
--- a/src/test/java/eiderscale/Bed.java
+++ b/policy/src/test/java/frostrelay/policy/Bed.java
@@ -1,4 +1,4 @@
-package eiderscale;
+package frostrelay.policy;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/eiderscale/EmbeddingExample.java
+++ b/policy/src/test/java/frostrelay/policy/EmbeddingExample.java
@@ -1,4 +1,4 @@
-package eiderscale;
+package frostrelay.policy;
 
 import java.util.ArrayDeque;
 import java.util.List;
--- a/src/test/java/eiderscale/FurtherRulesTest.java
+++ b/policy/src/test/java/frostrelay/policy/FurtherRulesTest.java
@@ -1,11 +1,11 @@
-package eiderscale;
+package frostrelay.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import eiderscale.Api.Reason;
+import frostrelay.policy.Api.Reason;
 import org.junit.jupiter.api.Test;
 
 /** The rules that hold only where settings state them: order for each key, and a budget of further attempts. */
--- a/src/test/java/eiderscale/RouterTest.java
+++ b/policy/src/test/java/frostrelay/policy/RouterTest.java
@@ -1,4 +1,4 @@
-package eiderscale;
+package frostrelay.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -7,7 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import eiderscale.Api.Reason;
+import frostrelay.policy.Api.Reason;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
--- a/src/test/java/eiderscale/RulesTest.java
+++ b/policy/src/test/java/frostrelay/policy/RulesTest.java
@@ -1,10 +1,10 @@
-package eiderscale;
+package frostrelay.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import eiderscale.Api.Reason;
+import frostrelay.policy.Api.Reason;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/test/java/eiderscale/SizeLimitsTest.java
+++ b/policy/src/test/java/frostrelay/policy/SizeLimitsTest.java
@@ -1,4 +1,4 @@
-package eiderscale;
+package frostrelay.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -17,11 +17,11 @@
 class SizeLimitsTest {
     private static final int MOST_LINES = 1_200;
     private static final int MOST_COLUMNS = 110;
-    private static final Path SOURCES = Path.of("src/main/java/eiderscale");
+    private static final Path SOURCES = Path.of("src/main/java/frostrelay/policy");
 
     private static List<Path> policyFiles() throws IOException {
-        String text = Files.readString(Path.of("deploy/balancer.toml"));
-        Matcher names = Pattern.compile("\"(src/[^\"]+\\.java)\"").matcher(text);
+        String text = Files.readString(Path.of("../deploy/balancer.toml"));
+        Matcher names = Pattern.compile("\"policy/(src/[^\"]+\\.java)\"").matcher(text);
         List<Path> files = new ArrayList<>();
         while (names.find()) {
             files.add(Path.of(names.group(1)));
