Hear of a replaced configuration where SIGHUP is ignored; log events as JSON lines

An operators' call was weighed and left: it needs somebody who knows. A test starts the program with the signal ignored.

Logs had a prefix from another program and no form. They are events of one catalogue now (docs/events.md, held to it by a test), written through SLF4J and Logback as JSON lines, or text on a terminal, set up in code as reading XML costs a start more than logging itself. Own encoder: Logback's JSON nests fields in pairs, and its patterns open a time-zone file when descriptors have run out. What peers cause stays bounded in lines and length, with control characters unable to end or forge a line.

--- a/node/src/main/java/frostrelay/console/ConsoleServer.java
+++ b/node/src/main/java/frostrelay/console/ConsoleServer.java
@@ -1,5 +1,7 @@
 package frostrelay.console;
 
+import frostrelay.log.Event;
+import frostrelay.log.Log;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -21,15 +23,12 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 
 /**
  * The operators' address: HTTP/1.1, one call a connection. Heads, bodies, the number of connections and the time
  * each may take are bounded, so that callers who send nothing, half a call or too much cost next to nothing.
  */
 public final class ConsoleServer {
-    private static final Logger LOG = Logger.getLogger(ConsoleServer.class.getName());
     private static final int MOST_LINE = 1024;
     private static final int MOST_HEAD = 8 * 1024;
     private static final int MOST_BODY = 4 * 1024;
@@ -107,7 +106,7 @@
                 if (done.isSuccess()) {
                     answer(done.getNow());
                 } else {
-                    LOG.log(Level.WARNING, "a call failed", done.cause());
+                    Log.write(Event.CALL_FAILED, String.valueOf(done.cause()));
                     answer(Answer.of(HttpResponseStatus.INTERNAL_SERVER_ERROR, "the call failed: see the log"));
                 }
             });
--- a/node/src/main/java/frostrelay/lifecycle/HoldStore.java
+++ b/node/src/main/java/frostrelay/lifecycle/HoldStore.java
@@ -1,5 +1,7 @@
 package frostrelay.lifecycle;
 
+import frostrelay.log.Event;
+import frostrelay.log.Log;
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
@@ -13,14 +15,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.logging.Logger;
 
 /**
  * The ids that operators hold out of use, in one small file that outlasts the process. Every process of the balancer
  * may change it, one at a time, and replaces it whole, so that no reader finds half of it. Waits for files.
  */
 final class HoldStore {
-    private static final Logger LOG = Logger.getLogger(HoldStore.class.getName());
     private static final String NAME = "holds";
     /** A longer file is none of ours. */
     private static final long MOST_BYTES = 1024 * 1024;
@@ -47,7 +47,7 @@
             last = Set.of();
         } catch (IOException | RuntimeException e) {
             if (!unreadable) {
-                LOG.warning(file + " cannot be read, the holds known so far stay: " + e.getMessage());
+                Log.write(Event.HOLDS_UNREADABLE, file, e.getMessage());
             }
             unreadable = true;
         }
--- a/node/src/main/java/frostrelay/lifecycle/SharedFolder.java
+++ b/node/src/main/java/frostrelay/lifecycle/SharedFolder.java
@@ -1,5 +1,7 @@
 package frostrelay.lifecycle;
 
+import frostrelay.log.Event;
+import frostrelay.log.Log;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Set;
@@ -9,8 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 
 /**
  * What the processes of one balancer share through {@code $TMPDIR}: the operators' holds, and while an upgrade lasts,
@@ -27,7 +27,6 @@
         void onLook(Look look);
     }
 
-    private static final Logger LOG = Logger.getLogger(SharedFolder.class.getName());
     /** Far below the time within which another process's hold must be heeded. */
     private static final long LOOK_MS = 100;
     private static final long CLOSE_MS = 500;
@@ -68,7 +67,7 @@
             listener.onLook(read());
         } catch (IOException | RuntimeException e) {
             // An exception would end the looks for good.
-            LOG.log(Level.WARNING, "a look at the shared folder failed", e);
+            Log.write(Event.FOLDER_FAILED, e.toString());
         }
     }
 
--- a/node/src/main/java/frostrelay/lifecycle/Siblings.java
+++ b/node/src/main/java/frostrelay/lifecycle/Siblings.java
@@ -1,5 +1,7 @@
 package frostrelay.lifecycle;
 
+import frostrelay.log.Event;
+import frostrelay.log.Log;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -10,7 +12,6 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.util.logging.Logger;
 
 /**
  * The serving processes of one balancer: during an upgrade there are two, which share its folder. Each holds the
@@ -27,7 +28,6 @@
         }
     }
 
-    private static final Logger LOG = Logger.getLogger(Siblings.class.getName());
     private static final String PREFIX = "serving-";
 
     private final Path folder;
@@ -48,7 +48,7 @@
             announced = FileChannel.open(own, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
             announced.lock();
         } catch (IOException e) {
-            LOG.warning("other processes of this balancer cannot see this one: " + e);
+            Log.write(Event.SIBLINGS_UNSEEN, "they cannot see this one: " + e);
         }
     }
 
@@ -70,7 +70,7 @@
             blind = false;
         } catch (IOException e) {
             if (!blind) {
-                LOG.warning("cannot look for other processes of this balancer: " + e);
+                Log.write(Event.SIBLINGS_UNSEEN, e.toString());
             }
             blind = true;
         }
--- /dev/null
+++ b/node/src/main/java/frostrelay/log/Event.java
@@ -0,0 +1,73 @@
+package frostrelay.log;
+
+import java.util.List;
+import org.slf4j.event.Level;
+
+/**
+ * Everything that the balancer logs, with the fields of each line in their order. {@code docs/events.md} is made from
+ * this and a test holds it to it.
+ */
+public enum Event {
+    SERVES(Level.INFO, "Clients are taken from now on.", "listen", "console"),
+    CANNOT_START(Level.ERROR, "It ends with 1.", "reason"),
+    STOPS(Level.INFO, "SIGTERM came: what is open is answered, nothing new is waited for.", "replaced"),
+    STOPPED_SHORT(Level.ERROR, "The orderly stop failed; the process ends all the same.", "reason"),
+    SIGNAL_IGNORED(Level.WARN, "It was started where SIGHUP is ignored, as under nohup: a replaced configuration is"
+            + " found by looking at the file instead.", "signal", "look-ms"),
+    SETTINGS_TAKEN(Level.INFO, "A replaced configuration holds from now on.", "classes", "attempts"),
+    SETTINGS_REFUSED(Level.ERROR, "A replaced configuration cannot be used; the old one stays, whole.", "reason"),
+    COUNTS(Level.INFO, "What has been counted since the start, every ten seconds.", "counts", "gauges"),
+    DRAIN_BEGINS(Level.INFO, "Operators send the clients away."),
+    DRAIN_ENDS(Level.INFO, "Clients are taken again."),
+    HOLDS(Level.INFO, "What operators hold out of use has changed.", "caches"),
+    SIBLING_SERVES(Level.INFO, "Another process of this balancer serves: descriptors are shared with it.", "others"),
+    SIBLING_ENDED(Level.INFO, "Another process of this balancer has ended.", "others"),
+    SIBLINGS_UNSEEN(Level.WARN, "Other processes of this balancer cannot be looked for, or cannot see this one.",
+            "reason"),
+    HOLDS_UNREADABLE(Level.WARN, "The file of holds is torn or somebody else's; those known so far stay.", "file",
+            "reason"),
+    FOLDER_FAILED(Level.WARN, "A look at the folder shared with other processes failed.", "reason"),
+    CALL_FAILED(Level.WARN, "An operators' call could not be carried out.", "reason"),
+    DISCOVERY_MOVES(Level.INFO, "The configuration names another discovery.", "from", "to"),
+    DISCOVERY_MOVED(Level.INFO, "The other discovery has answered.", "at", "version", "known"),
+    DISCOVERY_FAILED(Level.WARN, "A call or a watch ended without a list; the module says when to ask again.", "reason"),
+    PEER(Level.WARN, "A peer did what the protocol does not allow. At most 20 such lines between two counts.", "what"),
+    UNEXPECTED(Level.ERROR, "An exception that nobody expected. Bounded as lines of peers are.", "where", "exception",
+            "trace"),
+    LIBRARY(Level.WARN, "A library complains. At most 100 such lines in a process's life.", "logger", "message",
+            "exception"),
+    REHEARSED(Level.INFO, "The build has played a balancer's life once.", "answers");
+
+    /** How much it matters. */
+    public final Level level;
+    /** What it means, in a sentence. */
+    public final String meaning;
+    /** The names of its fields, in their order. */
+    public final List<String> fields;
+
+    Event(Level level, String meaning, String... fields) {
+        this.level = level;
+        this.meaning = meaning;
+        this.fields = List.of(fields);
+    }
+
+    /** The name in the log. */
+    public String word() {
+        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    }
+
+    /** The page on all events. */
+    public static String page() {
+        StringBuilder page = new StringBuilder("# What the balancer logs\n\n"
+                + "One line an event. On a terminal it is text; otherwise a JSON object with `time` (UTC), `level`,"
+                + " `event`, `balancer`\nand the fields named here. Values and keys of clients never appear. What peers"
+                + " can cause is bounded in lines and length.\n\n"
+                + "| event | level | fields | meaning |\n| --- | --- | --- | --- |\n");
+        for (Event event : values()) {
+            page.append("| `").append(event.word()).append("` | ").append(event.level.toString().toLowerCase(
+                    java.util.Locale.ROOT)).append(" | ").append(String.join(", ", event.fields)).append(" | ")
+                    .append(event.meaning).append(" |\n");
+        }
+        return page.toString();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/frostrelay/log/LineEncoder.java
@@ -0,0 +1,128 @@
+package frostrelay.log;
+
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.IThrowableProxy;
+import ch.qos.logback.core.encoder.EncoderBase;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.slf4j.event.KeyValuePair;
+
+/**
+ * One line an event, as JSON or as text. Logback's own JSON encoder puts fields into a list of pairs, and its patterns
+ * open a file of time zones at the first line: where that line tells of missing descriptors, this would fail in turn.
+ */
+final class LineEncoder extends EncoderBase<ILoggingEvent> {
+    private static final int MOST_TEXT = 2_000;
+    private static final JsonFactory JSON = new JsonFactory();
+    private final boolean json;
+
+    LineEncoder(boolean json) {
+        this.json = json;
+    }
+
+    @Override
+    public byte[] headerBytes() {
+        return null;
+    }
+
+    @Override
+    public byte[] footerBytes() {
+        return null;
+    }
+
+    @Override
+    public byte[] encode(ILoggingEvent event) {
+        Map<String, Object> fields = fields(event);
+        String time = Instant.ofEpochMilli(event.getTimeStamp()).toString();
+        String level = event.getLevel().toString().toLowerCase(Locale.ROOT);
+        String balancer = event.getLoggerContextVO().getPropertyMap().get(LogSetup.BALANCER);
+        boolean own = event.getLoggerName().equals(Log.NAME);
+        String name = own ? event.getMessage() : Event.LIBRARY.word();
+        return (json ? json(time, level, name, balancer, fields) : text(time, level, name, balancer, fields))
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static Map<String, Object> fields(ILoggingEvent event) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        if (!event.getLoggerName().equals(Log.NAME)) {
+            fields.put("logger", event.getLoggerName());
+            fields.put("message", event.getFormattedMessage());
+            IThrowableProxy thrown = event.getThrowableProxy();
+            if (thrown != null) {
+                fields.put("exception", thrown.getClassName() + ": " + thrown.getMessage());
+            }
+        }
+        List<KeyValuePair> pairs = event.getKeyValuePairs();
+        if (pairs != null) {
+            pairs.forEach(pair -> fields.put(pair.key, pair.value));
+        }
+        return fields;
+    }
+
+    private static String json(String time, String level, String name, String balancer, Map<String, Object> fields) {
+        StringWriter line = new StringWriter(256);
+        try (JsonGenerator out = JSON.createGenerator(line)) {
+            out.writeStartObject();
+            out.writeStringField("time", time);
+            out.writeStringField("level", level);
+            out.writeStringField("event", name);
+            if (balancer != null) {
+                out.writeStringField("balancer", balancer);
+            }
+            for (Map.Entry<String, Object> field : fields.entrySet()) {
+                out.writeFieldName(field.getKey());
+                value(out, field.getValue());
+            }
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return line.append('\n').toString();
+    }
+
+    private static void value(JsonGenerator out, Object value) throws IOException {
+        if (value instanceof Double || value instanceof Float) {
+            out.writeNumber(((Number) value).doubleValue());
+        } else if (value instanceof Number number) {
+            out.writeNumber(number.longValue());
+        } else if (value instanceof Boolean flag) {
+            out.writeBoolean(flag);
+        } else if (value instanceof Iterable<?> list) {
+            out.writeStartArray();
+            for (Object item : list) {
+                value(out, item);
+            }
+            out.writeEndArray();
+        } else if (value instanceof Map<?, ?> map) {
+            out.writeStartObject();
+            for (Map.Entry<?, ?> entry : map.entrySet()) {
+                out.writeFieldName(String.valueOf(entry.getKey()));
+                value(out, entry.getValue());
+            }
+            out.writeEndObject();
+        } else {
+            out.writeString(cut(String.valueOf(value)));
+        }
+    }
+
+    private static String text(String time, String level, String name, String balancer, Map<String, Object> fields) {
+        List<String> words = new ArrayList<>();
+        // No peer may end a line, or begin one that looks like ours.
+        fields.forEach((key, value) -> words.add(key + "=" + cut(String.valueOf(value)).replaceAll("\\p{Cntrl}", "?")));
+        return time + ' ' + String.format(Locale.ROOT, "%-5s", level) + ' ' + (balancer == null ? "" : balancer + ' ')
+                + name + (words.isEmpty() ? "" : "  ") + String.join(" ", words) + '\n';
+    }
+
+    private static String cut(String text) {
+        return text.length() > MOST_TEXT ? text.substring(0, MOST_TEXT) + "..." : text;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/frostrelay/log/LogSetup.java
@@ -0,0 +1,67 @@
+package frostrelay.log;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.filter.Filter;
+import ch.qos.logback.core.spi.ContextAwareBase;
+import ch.qos.logback.core.spi.FilterReply;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sets logging up in code: reading a file of XML would cost a start more than all the rest of logging. Found by Logback
+ * as a service.
+ */
+public final class LogSetup extends ContextAwareBase implements Configurator {
+    /** How lines look. */
+    public enum Format { JSON, TEXT, AUTO }
+
+    static final String BALANCER = "balancer";
+    /** Lines that libraries may write in a process's life; what they say after that is the same again. */
+    private static final int MOST_LIBRARY_LINES = 100;
+
+    @Override
+    public ExecutionStatus configure(LoggerContext context) {
+        apply(context, Format.AUTO, Level.INFO);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+
+    /** From now on lines look so, name this balancer, and those below the level are left out. */
+    public static void apply(Format format, org.slf4j.event.Level least, String balancer) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.putProperty(BALANCER, balancer);
+        apply(context, format, Level.convertAnSLF4JLevel(least));
+    }
+
+    private static void apply(LoggerContext context, Format format, Level least) {
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.detachAndStopAllAppenders();
+        LineEncoder encoder = new LineEncoder(format == Format.JSON || format == Format.AUTO && System.console() == null);
+        encoder.setContext(context);
+        encoder.start();
+        ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+        appender.setContext(context);
+        appender.setTarget("System.err");
+        appender.setEncoder(encoder);
+        appender.addFilter(new LibraryLimit());
+        appender.start();
+        root.addAppender(appender);
+        root.setLevel(Level.WARN);
+        context.getLogger(Log.NAME).setLevel(least);
+    }
+
+    /** Lets our own lines through and so many of others. */
+    private static final class LibraryLimit extends Filter<ILoggingEvent> {
+        private final AtomicInteger lines = new AtomicInteger();
+
+        @Override
+        public FilterReply decide(ILoggingEvent event) {
+            return event.getLoggerName().equals(Log.NAME) || lines.incrementAndGet() <= MOST_LIBRARY_LINES
+                    ? FilterReply.NEUTRAL : FilterReply.DENY;
+        }
+    }
+}
--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -141,8 +141,10 @@
         return pool.links();
     }
 
-    String gauges() {
-        return "open " + open() + " ledger " + exchanges.size() + " " + pool.gauges();
+    void gauges(Map<String, Object> into) {
+        into.put("open", open());
+        into.put("ledger", exchanges.size());
+        pool.gauges(into);
     }
 
     /** Operators hold these servers out of use, by the names that the list has for them. */
--- a/node/src/main/java/frostrelay/node/Config.java
+++ b/node/src/main/java/frostrelay/node/Config.java
@@ -1,9 +1,6 @@
 package frostrelay.node;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Map;
 
 /**
@@ -14,13 +11,8 @@
               long seed, int sockets, Site site, Catalog known, Map<?, ?> json) {
     private static final int DEFAULT_SOCKETS = 1024;
 
-    static Config read(String path) {
-        Map<?, ?> json = load(path);
-        try {
-            return parse(json);
-        } catch (ConfigException e) {
-            throw new ConfigException(path + ": " + e.getMessage());
-        }
+    static Config read(ConfigFile file) {
+        return parse(file.load());
     }
 
     /** What replaces this configuration: it must be whole, and goes by the numbering of this one. */
@@ -29,20 +21,6 @@
         return parse(fresh, site.succeed(Json.get(fresh, "settings", Map.class), Clock.now()));
     }
 
-    /** What a file tells, as yet unchecked; waits for it. */
-    static Map<?, ?> load(String path) {
-        if (path == null || path.isEmpty()) {
-            throw new ConfigException("GW_CONFIG is not set");
-        }
-        try {
-            return Json.parse(Files.readAllBytes(Path.of(path)));
-        } catch (IOException e) {
-            throw new ConfigException("cannot read " + path);
-        } catch (ConfigException e) {
-            throw new ConfigException(path + ": " + e.getMessage());
-        }
-    }
-
     static Config parse(Map<?, ?> json) {
         return parse(json, new Site(Json.get(json, "settings", Map.class)));
     }
--- a/node/src/main/java/frostrelay/node/ConfigException.java
+++ b/node/src/main/java/frostrelay/node/ConfigException.java
@@ -1,7 +1,7 @@
 package frostrelay.node;
 
 /** The configuration, or a list from discovery, is not what the deployment promises. */
-final class ConfigException extends RuntimeException {
+public final class ConfigException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     ConfigException(String message) {
--- a/node/src/main/java/frostrelay/node/Counters.java
+++ b/node/src/main/java/frostrelay/node/Counters.java
@@ -1,11 +1,17 @@
 package frostrelay.node;
 
+import frostrelay.log.Event;
+import frostrelay.log.Log;
 import frostrelay.policy.Api.Reason;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 
-/** Sparse counts on standard error, to find causes by: how requests and attempts end, and how late we run. */
+/** Sparse counts for the log, to find causes by: how requests and attempts end, and how late we run. */
 final class Counters {
-    private static final String PREFIX = "stairshelf: ";
+    private static final long MICROSECOND = 1_000L;
     /** Lines that peers may cause between two prints, and the length of one. */
     private static final int MOST_NOISES = 20;
     private static final int MOST_NOISE = 200;
@@ -45,43 +51,55 @@
     }
 
     /** Writes what has been counted so far. */
-    void print(String gauges) {
-        StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
-                "taken %d served %d refused %d failed %d gone %d departed %d malformed %d cut-short %d last-calls %d | connects %d"
-                + " local-refusals %d | evicted %d timed-out %d retired %d turned-away %d | timers %d late %d worst %.1f ms |", taken, served, refused, failed,
-                clientsGone, departed, malformed, cutShort, lastCalls, connects, localRefusals, evicted,
-                timedOut, retired, turnedAway, timers, lateTimers, latest / 1e6));
+    void print(Map<String, Object> gauges) {
+        Map<String, Object> counts = new LinkedHashMap<>();
+        counts.put("taken", taken);
+        counts.put("served", served);
+        counts.put("refused", refused);
+        counts.put("failed", failed);
+        counts.put("gone", clientsGone);
+        counts.put("departed", departed);
+        counts.put("malformed", malformed);
+        counts.put("cut-short", cutShort);
+        counts.put("last-calls", lastCalls);
+        counts.put("connects", connects);
+        counts.put("local-refusals", localRefusals);
+        counts.put("evicted", evicted);
+        counts.put("timed-out", timedOut);
+        counts.put("retired", retired);
+        counts.put("turned-away", turnedAway);
+        counts.put("timers", timers);
+        counts.put("timers-late", lateTimers);
+        counts.put("timer-worst-us", latest / MICROSECOND);
         for (Reason reason : Reason.values()) {
             if (outcomes[reason.ordinal()] > 0) {
-                line.append(' ').append(reason).append(' ').append(outcomes[reason.ordinal()]);
+                counts.put(reason.name().toLowerCase(Locale.ROOT).replace('_', '-'), outcomes[reason.ordinal()]);
             }
         }
-        if (noises > MOST_NOISES) {
-            line.append(" | not logged ").append(noises - MOST_NOISES);
-        }
+        counts.put("not-logged", Math.max(0, noises - MOST_NOISES));
         noises = 0;
         latest = 0;
-        log(line.append(" | ").append(gauges).toString());
+        Log.write(Event.COUNTS, counts, gauges);
     }
 
     /** What a peer can cause as often as it likes: told in part, so that it cannot fill the log. */
-    void noise(String line) {
-        noises++;
-        if (noises <= MOST_NOISES) {
-            log(line.length() > MOST_NOISE ? line.substring(0, MOST_NOISE) + "..." : line);
+    void noise(String what) {
+        if (++noises <= MOST_NOISES) {
+            Log.write(Event.PEER, what.length() > MOST_NOISE ? what.substring(0, MOST_NOISE) + "..." : what);
         }
     }
 
-    static void log(String line) {
-        System.err.println(PREFIX + line);
-    }
-
     /** An exception that nobody expected: the place where it arose is what finds its cause. */
-    void unexpected(String what, Throwable cause) {
-        noise(what + ": " + cause);
-        StackTraceElement[] trace = cause.getStackTrace();
-        for (int i = 0; i < Math.min(MOST_FRAMES, trace.length); i++) {
-            noise("  at " + trace[i]);
+    void unexpected(String where, Throwable cause) {
+        if (++noises > MOST_NOISES) {
+            return;
+        }
+        List<String> trace = new ArrayList<>();
+        for (StackTraceElement frame : cause.getStackTrace()) {
+            if (trace.size() < MOST_FRAMES) {
+                trace.add(frame.toString());
+            }
         }
+        Log.write(Event.UNEXPECTED, where, cause.toString(), trace);
     }
 }
--- a/node/src/main/java/frostrelay/node/Discovery.java
+++ b/node/src/main/java/frostrelay/node/Discovery.java
@@ -1,5 +1,7 @@
 package frostrelay.node;
 
+import frostrelay.log.Event;
+import frostrelay.log.Log;
 import frostrelay.policy.Api.ListMode;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -77,7 +79,7 @@
         if (fresh.equals(address)) {
             return;
         }
-        Counters.log("discovery moves from " + address + " to " + fresh);
+        Log.write(Event.DISCOVERY_MOVES, address, fresh);
         address = fresh;
         moved = true;
         if (current != null) {
@@ -148,7 +150,7 @@
             }
             end();
             if (moved) {
-                Counters.log("discovery at " + address + " has version " + catalog.rev() + ", known was " + rev);
+                Log.write(Event.DISCOVERY_MOVED, address, catalog.rev(), rev);
             }
             moved = false;
             rev = catalog.rev();
@@ -190,7 +192,7 @@
             }
             drop();
             current = null;
-            Counters.log("discovery failed: " + why);
+            Log.write(Event.DISCOVERY_FAILED, why);
             listener.onList(ListMode.FAILED, List.of());
         }
     }
--- a/node/src/main/java/frostrelay/node/Hangup.java
+++ b/node/src/main/java/frostrelay/node/Hangup.java
@@ -9,6 +9,7 @@
  */
 final class Hangup {
     private final CompletableFuture<Runnable> reload = new CompletableFuture<>();
+    private boolean ignored;
 
     private Hangup() {
     }
@@ -27,11 +28,18 @@
                     hangup.reload.thenAccept(Runnable::run);
                     return null;
                 });
-        signal.getMethod("handle", signal, handler)
+        Object before = signal.getMethod("handle", signal, handler)
                 .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), hears);
+        // Started where the signal is ignored, the JVM leaves it so and says nothing: only the old handler shows it.
+        hangup.ignored = before == handler.getField("SIG_IGN").get(null);
         return hangup;
     }
 
+    /** Whether the signal will never come, as whoever started this program ignores it. */
+    boolean isIgnored() {
+        return ignored;
+    }
+
     /** From now on each signal is handed on, on a thread of the JVM's own: {@code action} passes it to the loop. */
     void serve(Runnable action) {
         reload.complete(action);
--- a/node/src/main/java/frostrelay/node/HostPool.java
+++ b/node/src/main/java/frostrelay/node/HostPool.java
@@ -213,8 +213,10 @@
         return links;
     }
 
-    String gauges() {
-        return "hosts " + hosts.size() + " links " + links + " idle " + idle.size();
+    void gauges(Map<String, Object> into) {
+        into.put("hosts", hosts.size());
+        into.put("links", links);
+        into.put("idle", idle.size());
     }
 
     /** One connection, its states in order: coming up, then idle or carrying an attempt, then closed. */
--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -1,15 +1,18 @@
 package frostrelay.node;
 
-import frostrelay.policy.Api;
 import frostrelay.console.ConsoleServer;
 import frostrelay.console.Operations;
 import frostrelay.lifecycle.Departure;
 import frostrelay.lifecycle.SharedFolder;
 import frostrelay.lifecycle.Usage;
+import frostrelay.log.Event;
+import frostrelay.log.Log;
+import frostrelay.policy.Api;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,7 +24,6 @@
     private static final long ACCEPT_ON_MS = 600;
     private static final long LOOK_MS = 10;
     private static final long SWEEP_MS = 250;
-    private static final int SWEEPS_PER_PRINT = 40;
     /** An operator's call must be whole within this time. */
     private static final long CALL_MS = 2_000;
     /** Descriptors kept for the JVM itself (11 when idle), discovery, the console, the listening sockets and accepts. */
@@ -59,11 +61,16 @@
     /** What operators hold out of use. */
     private Set<String> holds;
     private int sweeps;
+    private final int sweepsPerPrint;
 
-    /** To be called on the loop, as all of this class. {@code shared}: what the folder showed. */
+    /**
+     * To be called on the loop, as all of this class. {@code shared}: what the folder showed;
+     * {@code counts}: nanoseconds between two prints of them.
+     */
     Node(Config config, EventLoop loop, Balancer.Module module, SharedFolder folder,
-         SharedFolder.Look shared) {
+         SharedFolder.Look shared, long counts) {
         this.config = config;
+        this.sweepsPerPrint = (int) Math.max(1, counts / (SWEEP_MS * Clock.MILLISECOND));
         this.loop = loop;
         this.folder = folder;
         int all = config.sockets();
@@ -126,8 +133,7 @@
         keep(look.holds());
         int count = look.others();
         if (count != others) {
-            Counters.log(count > others ? "another process of this balancer serves: descriptors are shared"
-                    : "the other process of this balancer has ended");
+            Log.write(count > others ? Event.SIBLING_SERVES : Event.SIBLING_ENDED, count);
             others = count;
             balancer.onOthers(others);
         }
@@ -140,7 +146,7 @@
     /** What operators hold, as kept for all processes of this balancer. */
     private void keep(Set<String> held) {
         if (!held.equals(holds)) {
-            Counters.log("operators hold out of use: " + (held.isEmpty() ? "nothing" : String.join(" ", held)));
+            Log.write(Event.HOLDS, held);
             holds = held;
             balancer.onHolds(held);
         }
@@ -149,7 +155,7 @@
     private void sweep() {
         balancer.sweep();
         server.sweep();
-        if (++sweeps % SWEEPS_PER_PRINT == 0) {
+        if (++sweeps % sweepsPerPrint == 0) {
             print();
         }
     }
@@ -158,8 +164,12 @@
         counters.print(gauges());
     }
 
-    String gauges() {
-        return "clients " + server.clients() + " held " + budget.held() + " " + balancer.gauges();
+    Map<String, Object> gauges() {
+        Map<String, Object> gauges = new LinkedHashMap<>();
+        gauges.put("clients", server.clients());
+        gauges.put("held", budget.held());
+        balancer.gauges(gauges);
+        return gauges;
     }
 
     /** A list of hosts from elsewhere than discovery. */
@@ -172,10 +182,9 @@
         try {
             config = config.succeed(json);
             balancer.reload(config);
-            Counters.log("new settings hold: classes " + config.site().names() + ", attempts "
-                    + config.site().settings.maxAttempts());
+            Log.write(Event.SETTINGS_TAKEN, config.site().names(), config.site().settings.maxAttempts());
         } catch (ConfigException e) {
-            Counters.log("the old configuration stays: " + e.getMessage());
+            Log.write(Event.SETTINGS_REFUSED, e.getMessage());
         }
     }
 
@@ -187,7 +196,7 @@
     @Override
     public void startDrain() {
         if (phase == Phase.SERVING) {
-            Counters.log("a drain begins: clients are sent away");
+            Log.write(Event.DRAIN_BEGINS);
             phase = Phase.DRAINING;
             server.depart(Departure.drain(Clock.now()));
         }
@@ -196,7 +205,7 @@
     @Override
     public void stopDrain() {
         if (phase == Phase.DRAINING) {
-            Counters.log("the drain is over: clients are taken again");
+            Log.write(Event.DRAIN_ENDS);
             phase = Phase.SERVING;
             server.depart(null);
         }
@@ -225,7 +234,7 @@
      * {@code replaced}: another process of this balancer listens, so that new clients need not be waited for.
      */
     Future<Void> stop(boolean replaced) {
-        Counters.log(replaced ? "stops: another process has taken over" : "stops");
+        Log.write(Event.STOPS, replaced);
         phase = Phase.STOPPING;
         Promise<Void> done = loop.newPromise();
         long longest = config.site().settings.classes().stream().mapToLong(Api.RequestClass::deadline).max()
--- /dev/null
+++ b/node/src/main/java/frostrelay/node/Program.java
@@ -0,0 +1,107 @@
+package frostrelay.node;
+
+import frostrelay.lifecycle.SharedFolder;
+import frostrelay.log.Event;
+import frostrelay.log.Log;
+import frostrelay.log.LogSetup;
+import frostrelay.policy.Router;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** The real balancer's life: it reads its configuration, at a signal again, serves until SIGTERM and ends with 0. */
+public final class Program {
+    /** Where the signal for a replaced configuration is ignored, the file is looked at so often. */
+    private static final long LOOK = Clock.SECOND;
+
+    private final ConfigFile file;
+    private final Node node;
+    private final EventLoop loop;
+    private final SharedFolder folder;
+
+    private Program(ConfigFile file, Node node, EventLoop loop, SharedFolder folder) {
+        this.file = file;
+        this.node = node;
+        this.loop = loop;
+        this.folder = folder;
+    }
+
+    /** Starts to serve and returns; the process ends with 1 if that fails. {@code path}: of the configuration. */
+    public static void start(String path, Options options) {
+        try {
+            Hangup hangup = Hangup.install();
+            ConfigFile file = new ConfigFile(path);
+            Config config = Config.read(file);
+            LogSetup.apply(options.logFormat(), options.logLevel(), config.name());
+            EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
+            SharedFolder folder = new SharedFolder(temporary(), Long.toString(ProcessHandle.current().pid()));
+            SharedFolder.Look shared = folder.look();
+            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, shared, options.counts())).get();
+            Program program = new Program(file, node, loop, folder);
+            // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
+            Runtime.getRuntime().addShutdownHook(new Thread(program::stop, "stop"));
+            loop.submit(node::start).get().sync();
+            hangup.serve(program::reload);
+            program.watch(hangup.isIgnored(), options.look());
+            Log.write(Event.SERVES, config.listen(), config.console());
+        } catch (ConfigException e) {
+            fail(e.getMessage());
+        } catch (Exception e) {
+            fail(e.toString());
+        }
+    }
+
+    private static void fail(String reason) {
+        Log.write(Event.CANNOT_START, reason);
+        Runtime.getRuntime().halt(1);
+    }
+
+    /** Looks at the file now and then where operators want that, or where no signal would be heard. */
+    private void watch(boolean ignored, long wanted) {
+        long look = wanted > 0 ? wanted : LOOK;
+        if (ignored) {
+            Log.write(Event.SIGNAL_IGNORED, "HUP", look / Clock.MILLISECOND);
+        }
+        if (ignored || wanted > 0) {
+            ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(
+                    new DefaultThreadFactory("config", true));
+            thread.scheduleWithFixedDelay(() -> {
+                if (file.changed()) {
+                    reload();
+                }
+            }, look, look, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** Reads on the caller's thread. One at a time, so that what was read last is taken last. */
+    private synchronized void reload() {
+        try {
+            Map<?, ?> json = file.load();
+            loop.execute(() -> node.reload(json));
+        } catch (ConfigException e) {
+            Log.write(Event.SETTINGS_REFUSED, e.getMessage());
+        }
+    }
+
+    /** The folder that all processes of this balancer share, and no other balancer. */
+    private static Path temporary() {
+        String named = System.getenv("TMPDIR");
+        return Path.of(named == null || named.isEmpty() ? System.getProperty("java.io.tmpdir") : named);
+    }
+
+    private void stop() {
+        try {
+            boolean replaced = folder.look().others() > 0;
+            loop.submit(() -> node.stop(replaced)).get().await();
+            folder.close();
+        } catch (Exception e) {
+            Log.write(Event.STOPPED_SHORT, e.toString());
+        }
+        Runtime.getRuntime().halt(0);
+    }
+}
--- a/node/src/main/java/frostrelay/node/Rehearsal.java
+++ b/node/src/main/java/frostrelay/node/Rehearsal.java
@@ -1,5 +1,7 @@
 package frostrelay.node;
 
+import frostrelay.log.Event;
+import frostrelay.log.Log;
 import frostrelay.policy.Router;
 import frostrelay.lifecycle.SharedFolder;
 import io.netty.channel.EventLoop;
@@ -48,7 +50,7 @@
     /** Takes no arguments; fails if the rehearsal went wrong. */
     public static void main(String[] args) throws Exception {
         int answers = play();
-        Counters.log("rehearsed with " + answers + " answers");
+        Log.write(Event.REHEARSED, answers);
         System.exit(0);
     }
 
@@ -63,7 +65,7 @@
                     .getBytes(StandardCharsets.UTF_8);
             Config config = Config.parse(Json.parse(json));
             SharedFolder.Look look = folder.look();
-            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, look)).get();
+            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, look, Options.STANDARD.counts())).get();
             InetSocketAddress address = (InetSocketAddress) loop.submit(node::start).get().sync().getNow().channel()
                     .localAddress();
             int answers = ask(address);
--- a/node/src/test/java/frostrelay/node/BadInputTest.java
+++ b/node/src/test/java/frostrelay/node/BadInputTest.java
@@ -196,7 +196,7 @@
         bad(good.replace("\"categories\"", "\"categories-x\""));
         bad(good.replace("\"multiplex\":1", "\"multiplex\":0"));
         bad(good.replace("0.2", "\"cold\""));
-        assertThrows(ConfigException.class, () -> Config.read(null));
-        assertThrows(ConfigException.class, () -> Config.read("/nonexistent/config.json"));
+        assertThrows(ConfigException.class, () -> new ConfigFile(null));
+        assertThrows(ConfigException.class, () -> Config.read(new ConfigFile("/nonexistent/config.json")));
     }
 }
--- a/node/src/test/java/frostrelay/node/DiscoveryTest.java
+++ b/node/src/test/java/frostrelay/node/DiscoveryTest.java
@@ -166,7 +166,7 @@
     }
 
     private static void reload(Rig rig, Path config) throws Exception {
-        rig.loop.submit(() -> rig.node.reload(Config.load(config.toString()))).get();
+        rig.loop.submit(() -> rig.node.reload(new ConfigFile(config.toString()).load())).get();
     }
 
     /** Rendezvous hashing needs one id for a host at all balancers, whose addresses for it differ. */
--- a/node/src/test/java/frostrelay/node/ServingTest.java
+++ b/node/src/test/java/frostrelay/node/ServingTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
 import java.util.concurrent.Semaphore;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** A client's request and its one final answer. */
@@ -235,12 +237,21 @@
         }
     }
 
-    static void awaitGauge(Rig rig, String text) throws Exception {
-        long end = System.nanoTime() + Peer.LIMIT_MS * 1_000_000L;
-        while (!rig.loop.submit(rig.node::gauges).get().contains(text) && System.nanoTime() < end) {
-            Thread.sleep(2);
+    /** Waits until gauges stand at values: "links 2 idle 0". */
+    static void awaitGauge(Rig rig, String gauge) throws Exception {
+        String[] words = gauge.trim().split(" ");
+        Map<String, Object> now = Map.of();
+        for (long end = System.nanoTime() + Peer.LIMIT_MS * 1_000_000L; System.nanoTime() < end; Thread.sleep(2)) {
+            now = rig.loop.submit(rig.node::gauges).get();
+            boolean all = true;
+            for (int i = 0; i < words.length; i += 2) {
+                all &= String.valueOf(now.get(words[i])).equals(words[i + 1]);
+            }
+            if (all) {
+                return;
+            }
         }
-        assertTrue(rig.loop.submit(rig.node::gauges).get().contains(text), rig.loop.submit(rig.node::gauges).get());
+        fail(gauge + " expected, " + now + " found");
     }
 
     @Test
--- a/node/src/test/java/frostrelay/node/StopTest.java
+++ b/node/src/test/java/frostrelay/node/StopTest.java
@@ -23,6 +23,7 @@
 
 /** An orderly stop loses nothing that was taken. */
 class StopTest {
+    private static final String SERVES = "\"event\":\"serves\"";
     @TempDir
     Path folder;
 
@@ -106,7 +107,7 @@
             Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:" + port));
             Process process = start(config.toString());
             try {
-                awaitLine(log(process), "serves on");
+                awaitLine(log(process), SERVES);
                 try (Peer client = new Peer(new Socket(InetAddress.getLoopbackAddress(), port))) {
                     assertEquals("MN", client.ask("mn"));
                     assertEquals("HD O2 c77", client.ask(Rig.COPY));
@@ -137,7 +138,7 @@
             builder.environment().put("GW_CONFIG", config.toString());
             Process process = builder.start();
             try {
-                awaitLine(log(process), "serves on");
+                awaitLine(log(process), SERVES);
                 for (int i = 0; i < 600; i++) {
                     flood.add(new Peer(new Socket(InetAddress.getLoopbackAddress(), port)));
                 }
@@ -170,18 +171,18 @@
             Process process = start(config.toString());
             try {
                 BufferedReader log = log(process);
-                awaitLine(log, "serves on");
+                awaitLine(log, SERVES);
                 try (Peer client = new Peer(new Socket(InetAddress.getLoopbackAddress(), port))) {
                     for (String broken : new String[] {"{", "", "{\"listen\":\"127.0.0.1:1\"}"}) {
                         Files.writeString(config, broken);
                         hangUp(process);
-                        awaitLine(log, "the old configuration stays");
+                        awaitLine(log, "\"event\":\"settings-refused\"");
                     }
                     rig.discovery = "127.0.0.1:2";
                     Files.writeString(config, rig.config("127.0.0.1:" + port));
                     hangUp(process);
                     hangUp(process);
-                    awaitLine(log, "discovery moves");
+                    awaitLine(log, "\"event\":\"discovery-moves\"");
                     assertEquals("HD O2 c77", client.ask(Rig.COPY));
                     process.destroy();
                 }
@@ -191,6 +192,37 @@
         }
     }
 
+    /**
+     * Under nohup and some supervisors SIGHUP is ignored, the JVM leaves it so without a word, and replaced
+     * configurations were passed over for ever.
+     */
+    @Test
+    void whereSighupIsIgnoredTheFileIsLookedAtInstead() throws Exception {
+        try (Rig rig = new Rig(FakeHost.serving())) {
+            int port = freePort();
+            Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:" + port));
+            ProcessBuilder builder = new ProcessBuilder("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"",
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+                    "-cp", System.getProperty("java.class.path"), "frostrelay.node.Main");
+            builder.environment().put("GW_CONFIG", config.toString());
+            builder.environment().put("TMPDIR", folder.toString());
+            Process process = builder.start();
+            try {
+                BufferedReader log = log(process);
+                awaitLine(log, "\"event\":\"signal-ignored\"");
+                Files.writeString(config, "{");
+                hangUp(process);
+                awaitLine(log, "\"event\":\"settings-refused\"");
+                rig.discovery = "127.0.0.1:2";
+                Files.writeString(config, rig.config("127.0.0.1:" + port));
+                awaitLine(log, "\"event\":\"discovery-moves\"");
+                process.destroy();
+            } finally {
+                assertEquals(0, exit(process));
+            }
+        }
+    }
+
     /** The new process serves at the same address before the old one ends, and nobody is turned away meanwhile. */
     @Test
     void aSecondProcessTakesOverWithoutALoss() throws Exception {
@@ -201,11 +233,11 @@
             Process old = start(config.toString(), shared);
             try {
                 BufferedReader oldLog = log(old);
-                awaitLine(oldLog, "serves on");
+                awaitLine(oldLog, SERVES);
                 Process fresh = start(config.toString(), shared);
                 try {
-                    awaitLine(log(fresh), "serves on");
-                    awaitLine(oldLog, "another process of this balancer serves");
+                    awaitLine(log(fresh), SERVES);
+                    awaitLine(oldLog, "\"event\":\"sibling-serves\"");
                     old.destroy();
                     while (old.isAlive()) {
                         String answer = askOnce(port);
@@ -257,7 +289,7 @@
             Path config = Files.writeString(folder.resolve("config.json"),
                     rig.config("127.0.0.1:" + taken.getLocalPort()));
             Process process = start(config.toString());
-            assertEquals(1, log(process).lines().filter(line -> line.contains("cannot start")).count());
+            assertEquals(1, log(process).lines().filter(line -> line.contains("\"event\":\"cannot-start\"")).count());
             assertEquals(1, exit(process));
         }
     }
