Add the configuration reader, the stand-in fleet with its referee, and the command line

Nothing could be run by hand: discovery, caches and clients existed only inside tests.

config: TOML by tomlj (it keeps where each key stands), forms with kinds, units and bounds; a file is taken whole or not at all, and every problem is told with line, key, what was found and what is allowed. rig: cache, archive, discovery, link and clients on loopback, faults from a timeline or by hand, and a referee that hears both ends and no balancer. cli: demo, serve, check, fleet, load, fault, bench with picocli; bin/frostrelay builds first where a jar is missing or stale.

--- /dev/null
+++ b/cli/src/main/java/frostrelay/cli/CheckCommand.java
@@ -0,0 +1,102 @@
+package frostrelay.cli;
+
+import frostrelay.config.BadConfigException;
+import frostrelay.config.Problem;
+import frostrelay.config.Table;
+import frostrelay.config.TomlFile;
+import frostrelay.config.Values;
+import frostrelay.rig.day.DayFile;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Says what is wrong with configuration files, without starting anything. */
+@Command(name = "check", mixinStandardHelpOptions = true, description = {
+    "Checks files and says everything that is wrong with them: a balancer's own settings (frostrelay.toml), a day for"
+    + " the fleet (a file with [[class]] tables), or the platform's JSON.",
+    "Exits with 1 if any file is refused."})
+final class CheckCommand implements Callable<Integer> {
+    @Mixin
+    private Output output;
+
+    @Parameters(arity = "1..*", paramLabel = "FILE")
+    private List<Path> files;
+
+    @Option(names = "--effective", description = "Print the values in force, those that a file leaves out included.")
+    private boolean effective;
+
+    @Override
+    public Integer call() {
+        List<Object> told = new ArrayList<>();
+        StringBuilder text = new StringBuilder();
+        boolean good = true;
+        for (Path file : files) {
+            List<Problem> problems = new ArrayList<>();
+            String values = "";
+            try {
+                values = check(file);
+            } catch (BadConfigException e) {
+                problems.addAll(e.problems());
+            }
+            good &= problems.isEmpty();
+            Map<String, Object> one = new LinkedHashMap<>();
+            one.put("file", file.toString());
+            one.put("good", problems.isEmpty());
+            one.put("problems", problems.stream().map(CheckCommand::json).toList());
+            if (effective) {
+                one.put("effective", values);
+            }
+            told.add(one);
+            problems.forEach(problem -> text.append(problem).append(System.lineSeparator()));
+            if (problems.isEmpty()) {
+                text.append(file).append(": good").append(System.lineSeparator()).append(effective ? values : "");
+            }
+        }
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("good", good);
+        all.put("files", told);
+        output.result(all, text.toString().stripTrailing());
+        return good ? 0 : 1;
+    }
+
+    /** The values in force, in words; throws what is wrong. */
+    private static String check(Path file) {
+        String name = file.getFileName() == null ? "" : file.getFileName().toString();
+        if (name.endsWith(".json")) {
+            return Platform.check(file);
+        }
+        Table form = isDay(file) ? DayFile.form() : OwnSettings.form();
+        Values values = TomlFile.read(file, form);
+        if (isDay(file)) {
+            DayFile.read(file);
+        } else {
+            OwnSettings.read(file);
+        }
+        return values.write();
+    }
+
+    private static boolean isDay(Path file) {
+        try {
+            return Files.readString(file).lines().anyMatch(line -> line.strip().startsWith("[[class]]"));
+        } catch (java.io.IOException e) {
+            return false;
+        }
+    }
+
+    private static Map<String, Object> json(Problem problem) {
+        Map<String, Object> one = new LinkedHashMap<>();
+        one.put("line", problem.line());
+        one.put("key", problem.key());
+        one.put("found", problem.found());
+        one.put("allowed", problem.allowed());
+        return one;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/cache/Store.java
@@ -0,0 +1,39 @@
+package frostrelay.rig.cache;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** What a cache keeps, bounded by bytes; what was used longest ago goes first. Not safe for threads. */
+final class Store {
+    private final long mostBytes;
+    private final Map<String, byte[]> values = new LinkedHashMap<>(16, 0.75f, true);
+    private long bytes;
+
+    Store(long mostBytes) {
+        this.mostBytes = mostBytes;
+    }
+
+    byte[] get(String key) {
+        return values.get(key);
+    }
+
+    void put(String key, byte[] value) {
+        remove(key);
+        if (value.length > mostBytes) {
+            return;
+        }
+        values.put(key, value);
+        bytes += value.length;
+        Iterator<Map.Entry<String, byte[]>> oldest = values.entrySet().iterator();
+        while (bytes > mostBytes) {
+            bytes -= oldest.next().getValue().length;
+            oldest.remove();
+        }
+    }
+
+    void remove(String key) {
+        byte[] old = values.remove(key);
+        bytes -= old == null ? 0 : old.length;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/cache/WorkEngine.java
@@ -0,0 +1,132 @@
+package frostrelay.rig.cache;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+
+/**
+ * How a machine gets through its work: some cores share what runs in the slots evenly, the rest waits in a bounded
+ * queue. No I/O and no clock: every call carries the time in nanoseconds, which never falls. Not safe for threads.
+ */
+public final class WorkEngine<J> {
+    /** What became of a job that was offered. */
+    public enum Offer { RUNS, WAITS, FULL }
+
+    private static final class Task<J> {
+        final J job;
+        double left;
+
+        Task(J job, double left) {
+            this.job = job;
+            this.left = left;
+        }
+    }
+
+    private final int cores;
+    private final int slots;
+    private final int queue;
+    private final List<Task<J>> running = new ArrayList<>();
+    private final Deque<Task<J>> waiting = new ArrayDeque<>();
+    private double speed = 1;
+    private long at;
+
+    /** {@code cores} and {@code slots} of at least 1; {@code queue} places to wait beyond the slots. */
+    public WorkEngine(int cores, int slots, int queue) {
+        this.cores = cores;
+        this.slots = slots;
+        this.queue = queue;
+    }
+
+    /** Adds a job of so much work, in nanoseconds of one core at full speed. */
+    public Offer offer(long now, J job, double work) {
+        advance(now);
+        if (running.size() < slots) {
+            running.add(new Task<>(job, work));
+            return Offer.RUNS;
+        }
+        if (waiting.size() < queue) {
+            waiting.add(new Task<>(job, work));
+            return Offer.WAITS;
+        }
+        return Offer.FULL;
+    }
+
+    /** Takes a job out, done or not; false if it is not here. {@code running} jobs go only if {@code stop}. */
+    public boolean remove(long now, J job, boolean stop) {
+        advance(now);
+        if (waiting.removeIf(task -> task.job == job)) {
+            return true;
+        }
+        boolean removed = stop && running.removeIf(task -> task.job == job);
+        refill();
+        return removed;
+    }
+
+    /** From now on the machine does so much of its full speed, more than 0. */
+    public void speed(long now, double part) {
+        advance(now);
+        speed = Math.max(1e-6, part);
+    }
+
+    /** The jobs that are done by now, in the order in which they ended. */
+    public List<J> finished(long now) {
+        advance(now);
+        List<J> done = new ArrayList<>();
+        for (Iterator<Task<J>> tasks = running.iterator(); tasks.hasNext();) {
+            Task<J> task = tasks.next();
+            if (task.left <= 0.5) {
+                done.add(task.job);
+                tasks.remove();
+            }
+        }
+        refill();
+        return done;
+    }
+
+    /** When the next job will be done if nothing changes; Long.MAX_VALUE if none runs. */
+    public long next() {
+        double least = Double.POSITIVE_INFINITY;
+        for (Task<J> task : running) {
+            least = Math.min(least, task.left);
+        }
+        return running.isEmpty() ? Long.MAX_VALUE : at + (long) Math.ceil(Math.max(0, least) / rate());
+    }
+
+    /** Work that a job gets done in a nanosecond. */
+    private double rate() {
+        return speed * Math.min(1, cores / (double) Math.max(1, running.size()));
+    }
+
+    private void advance(long now) {
+        double done = (now - at) * rate();
+        for (Task<J> task : running) {
+            task.left -= done;
+        }
+        at = now;
+    }
+
+    private void refill() {
+        while (running.size() < slots && !waiting.isEmpty()) {
+            running.add(waiting.poll());
+        }
+    }
+
+    /** Jobs that run. */
+    public int running() {
+        return running.size();
+    }
+
+    /** Jobs that wait. */
+    public int waiting() {
+        return waiting.size();
+    }
+
+    /** Drops everything, as a process that dies does. */
+    public void clear(long now) {
+        advance(now);
+        running.clear();
+        waiting.clear();
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/client/ClientWatch.java
@@ -0,0 +1,31 @@
+package frostrelay.rig.client;
+
+import frostrelay.rig.referee.Referee.Effect;
+import frostrelay.rig.referee.Referee.Ending;
+
+/** Hears what clients ask and get. Times in nanoseconds; {@code id} is that of a try. */
+public interface ClientWatch {
+    /** Where nobody watches: only what the client itself sees counts. */
+    ClientWatch NOBODY = new ClientWatch() {
+    };
+
+    /** A request goes out. {@code intent}: the first try that it belongs to, its own id for a first try. */
+    default void asked(long now, String id, String intent, Effect effect) {
+    }
+
+    /** A final answer came. {@code content}: what identifies a value or receipt, for served requests. */
+    default void answered(String id, Ending ending, long content) {
+    }
+
+    /** Something came that belongs to no open request. */
+    default void unasked(String what) {
+    }
+
+    /** No answer came in time, or the connection ended without one. */
+    default void unanswered(String id, String why) {
+    }
+
+    /** Nothing is owed any more: its balancer was killed on purpose, or it was never reached. */
+    default void excused(String id) {
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/day/TenantSpec.java
@@ -0,0 +1,5 @@
+package frostrelay.rig.day;
+
+/** A tenant and its part of all requests. */
+public record TenantSpec(String name, double share) {
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/fleet/Faults.java
@@ -0,0 +1,216 @@
+package frostrelay.rig.fleet;
+
+import frostrelay.rig.client.Front;
+import frostrelay.rig.client.OpenLoop;
+import frostrelay.rig.day.FaultKind;
+import frostrelay.rig.day.FaultSpec;
+import frostrelay.rig.day.Targets;
+import frostrelay.rig.discovery.Member;
+import frostrelay.rig.wire.Loopback;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Plays faults and operators' calls on a fleet: from a day's timeline, or by hand. What "any" means is drawn from the
+ * day's seed, in the order of the calls. Calls that wait run on a thread of its own.
+ */
+public final class Faults implements AutoCloseable {
+    private static final Duration CALL = Duration.ofSeconds(2);
+    private static final long STOP_MS = 4_000;
+    private static final long RESTART_MS = 300;
+
+    private final Fleet fleet;
+    private final Front front;
+    private final OpenLoop load;
+    private final Consumer<String> told;
+    private final UniformRandomProvider random;
+    private final HttpClient http = HttpClient.newBuilder().connectTimeout(CALL).build();
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread fresh = new Thread(task, "faults");
+        fresh.setDaemon(true);
+        return fresh;
+    });
+
+    /** {@code front} and {@code load}: of the clients, or null where there are none; {@code told}: hears what happens. */
+    public Faults(Fleet fleet, Front front, OpenLoop load, Consumer<String> told) {
+        this.fleet = fleet;
+        this.front = front;
+        this.load = load;
+        this.told = told;
+        this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(fleet.day().seed() ^ 0x5DEECE66DL);
+    }
+
+    /** Plays the day's timeline from now on. */
+    public void play() {
+        for (FaultSpec fault : fleet.day().faults()) {
+            thread.schedule(() -> apply(fault), fault.at(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** Plays a fault now, on the thread of faults. */
+    public void call(FaultSpec fault) {
+        thread.execute(() -> apply(fault));
+    }
+
+    private void apply(FaultSpec fault) {
+        String name = fault.kind().meets == FaultKind.Meets.CACHE ? "cache" : "balancer";
+        int most = fault.kind().meets == FaultKind.Meets.CACHE ? fleet.caches().size() : fleet.balancers().size();
+        List<Integer> met = fault.kind().meets == FaultKind.Meets.NOBODY ? List.of(0)
+                : Targets.choose(fault.target(), name, most, random);
+        List<String> names = new ArrayList<>();
+        met.forEach(place -> names.add(name + '-' + (place + 1)));
+        told.accept((fault.kind().meets == FaultKind.Meets.NOBODY ? "" : String.join(" ", names) + ": ")
+                + new FaultSpec(0, fault.kind(), "", fault.factor(), fault.amount(), fault.length()).text());
+        try {
+            for (int place : met) {
+                set(fault, place, true);
+            }
+            if (fault.length() > 0) {
+                thread.schedule(() -> {
+                    told.accept(String.join(" ", names) + ": " + fault.kind().word + " is over");
+                    for (int place : met) {
+                        undo(fault, place);
+                    }
+                }, fault.length(), TimeUnit.NANOSECONDS);
+            }
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            told.accept(fault.kind().word + " failed: " + e);
+        }
+    }
+
+    private void undo(FaultSpec fault, int place) {
+        try {
+            set(fault, place, false);
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            told.accept("the end of " + fault.kind().word + " failed: " + e);
+        }
+    }
+
+    private void set(FaultSpec fault, int place, boolean on) throws IOException, InterruptedException {
+        switch (fault.kind()) {
+            case KILL, RESTART, SLOW, SILENCE, DRAIN, HOLD -> cache(fault, place, on);
+            case LINK_DELAY -> fleet.caches().get(place).links().forEach(link -> link.delay(on ? fault.amount() : 0));
+            case LINK_STALL -> fleet.caches().get(place).links().forEach(link -> link.stall(on));
+            case LINK_CUT -> fleet.caches().get(place).links().forEach(link -> link.cut(on));
+            case LINK_NARROW -> fleet.caches().get(place).links()
+                    .forEach(link -> link.bandwidth(on ? (long) (fault.factor() * 1_000) : 0));
+            case ARCHIVE_SLOW -> fleet.archive().slow(on ? fault.factor() : 1);
+            case ARCHIVE_OUTAGE -> {
+                if (on) {
+                    fleet.archive().outage(fault.length());
+                }
+            }
+            case DISCOVERY_OUTAGE -> fleet.discovery().outage(on);
+            case DISCOVERY_LATE -> fleet.discovery().late(on ? fault.amount() : fleet.day().lateness());
+            case BALANCER_KILL, BALANCER_RESTART, RELOAD -> balancer(fault, place, on);
+            default -> {
+                if (load != null) {
+                    load.surge(on ? fault.factor() : 1);
+                }
+            }
+        }
+    }
+
+    private void cache(FaultSpec fault, int place, boolean on) throws IOException, InterruptedException {
+        Fleet.Cache cache = fleet.caches().get(place);
+        String name = cache.server().name();
+        switch (fault.kind()) {
+            case KILL -> {
+                if (on) {
+                    cache.server().kill();
+                    fleet.discovery().change(new Member(name, Member.State.GONE, 0));
+                } else {
+                    start(cache);
+                }
+            }
+            case RESTART -> {
+                if (on) {
+                    start(cache);
+                }
+            }
+            case SLOW -> cache.server().slow(on ? Math.max(1, fault.factor()) : 1);
+            case SILENCE -> cache.server().silence(on);
+            case DRAIN -> {
+                // Told first: a cache that turns work away before anyone can know is another fault.
+                fleet.discovery().change(new Member(name, on ? Member.State.TERMINATING : Member.State.READY, 0));
+            }
+            default -> {
+                for (Fleet.Place balancer : fleet.balancers()) {
+                    hold(balancer, name, on);
+                }
+            }
+        }
+    }
+
+    private void start(Fleet.Cache cache) {
+        cache.server().restart();
+        fleet.discovery().change(new Member(cache.server().name(), Member.State.READY, System.currentTimeMillis()));
+    }
+
+    private void hold(Fleet.Place balancer, String cache, boolean on) throws IOException, InterruptedException {
+        HttpResponse<String> answer = http.send(HttpRequest.newBuilder(URI.create("http://"
+                + Loopback.text(balancer.console()) + "/ops/template-caches/" + (on ? "down" : "up"))).timeout(CALL)
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString("{\"id\":\"" + cache + "\"}")).build(),
+                HttpResponse.BodyHandlers.ofString());
+        if (answer.statusCode() / 100 != 2) {
+            throw new IOException(balancer.name() + " says " + answer.statusCode());
+        }
+        fleet.referee().told(System.nanoTime(), balancer.name(), cache, !on);
+    }
+
+    private void balancer(FaultSpec fault, int place, boolean on) throws IOException, InterruptedException {
+        Fleet.Place balancer = fleet.balancers().get(place);
+        if (balancer.process() == null) {
+            throw new IOException(balancer.name() + " was started by hand");
+        }
+        switch (fault.kind()) {
+            case RELOAD -> {
+                if (on) {
+                    balancer.process().hangUp();
+                }
+            }
+            case BALANCER_KILL -> {
+                if (on) {
+                    stopped(place);
+                    balancer.process().kill();
+                }
+                if (!on || fault.length() == 0) {
+                    Thread.sleep(RESTART_MS);
+                    balancer.process().start();
+                }
+            }
+            default -> {
+                if (on) {
+                    balancer.process().terminate(STOP_MS);
+                    stopped(place);
+                    balancer.process().start();
+                }
+            }
+        }
+    }
+
+    private void stopped(int place) {
+        fleet.referee().forgets(fleet.balancers().get(place).name());
+        if (front != null) {
+            front.stopped(place);
+        }
+    }
+
+    @Override
+    public void close() {
+        thread.shutdownNow();
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/fleet/Fleet.java
@@ -0,0 +1,170 @@
+package frostrelay.rig.fleet;
+
+import frostrelay.rig.archive.ArchiveClient;
+import frostrelay.rig.archive.ArchiveServer;
+import frostrelay.rig.cache.CacheServer;
+import frostrelay.rig.cache.RepeatFilter;
+import frostrelay.rig.day.Day;
+import frostrelay.rig.discovery.DiscoveryServer;
+import frostrelay.rig.discovery.Member;
+import frostrelay.rig.link.Link;
+import frostrelay.rig.referee.Referee;
+import frostrelay.rig.wire.Loopback;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A whole installation on loopback: an archive, caches, discovery, a link between each balancer and each cache, and real
+ * balancers as processes. Where there is no program, balancers are left to be started by hand.
+ */
+public final class Fleet implements AutoCloseable {
+    private static final int LOOPS = 4;
+    /** How much later than its bound a send may reach a cache: the way, and how late this program itself may be. */
+    private static final long DRAIN_SLACK = 150_000_000L;
+
+    /** One cache with its ways, by balancer. */
+    record Cache(CacheServer server, List<Link> links) {
+    }
+
+    /** Where a balancer is and what it was given. {@code process}: null where it is started by hand. */
+    public record Place(String name, InetSocketAddress listen, InetSocketAddress console, String config,
+                        BalancerProcess process) {
+    }
+
+    private final Day day;
+    private final NioEventLoopGroup group = new NioEventLoopGroup(LOOPS);
+    private final Referee referee;
+    private final ArchiveServer archive;
+    private final DiscoveryServer discovery;
+    private final List<Cache> caches = new ArrayList<>();
+    private final List<Place> places = new ArrayList<>();
+
+    /** Builds and starts everything but the balancers. {@code folder}: where these keep their files. */
+    public Fleet(Day day, Path folder, Program program) throws IOException, InterruptedException {
+        this.day = day;
+        referee = new Referee(new Referee.Bounds(day.drainGrace() + DRAIN_SLACK, day.cache().warmth().window(),
+                day.cache().warmth(), day.cache().cores()));
+        archive = new ArchiveServer(day.archive(), group.next(), day.seed());
+        discovery = new DiscoveryServer(group.next(), referee, day.lateness());
+        InetSocketAddress source = archive.start();
+        RepeatFilter repeats = new RepeatFilter(BalancerConfig.REPEAT_WINDOW);
+        List<CacheServer> servers = new CopyOnWriteArrayList<>();
+        List<Map<String, String>> endpoints = new ArrayList<>();
+        for (int place = 0; place < day.balancers(); place++) {
+            endpoints.add(new LinkedHashMap<>());
+        }
+        for (int i = 0; i < day.caches(); i++) {
+            EventLoop loop = group.next();
+            CacheServer server = new CacheServer("cache-" + (i + 1), day.cache(), loop,
+                    new ArchiveClient(source, loop), repeats, referee, servers);
+            servers.add(server);
+            List<Link> links = new ArrayList<>();
+            for (int place = 0; place < day.balancers(); place++) {
+                Link link = new Link(group.next(), server.listen(BalancerConfig.name(place)));
+                links.add(link);
+                endpoints.get(place).put(server.name(), Loopback.text(link.listen(0)));
+            }
+            caches.add(new Cache(server, links));
+            discovery.known(new Member(server.name(), Member.State.READY, 0));
+        }
+        for (int place = 0; place < day.balancers(); place++) {
+            places.add(place(place, endpoints.get(place), folder, program));
+        }
+    }
+
+    private Place place(int place, Map<String, String> endpoints, Path folder, Program program)
+            throws IOException, InterruptedException {
+        String name = BalancerConfig.name(place);
+        InetSocketAddress listen = Loopback.port(freePort());
+        InetSocketAddress console = Loopback.port(freePort());
+        String source = Loopback.text(discovery.listen(name, endpoints));
+        String config = BalancerConfig.json(day, place, Loopback.text(listen), Loopback.text(console), source,
+                discovery.list(endpoints));
+        return new Place(name, listen, console, config, program == null ? null
+                : new BalancerProcess(name, program, folder.resolve(name), listen, config));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Starts all balancers and waits until they take requests. */
+    public void startBalancers() throws IOException, InterruptedException {
+        for (Place place : places) {
+            place.process.start();
+        }
+        for (Place place : places) {
+            place.process.awaitReady();
+        }
+    }
+
+    /** The day that it plays. */
+    public Day day() {
+        return day;
+    }
+
+    /** Where balancers are, in their order. */
+    public List<Place> balancers() {
+        return List.copyOf(places);
+    }
+
+    /** Who watches. */
+    public Referee referee() {
+        return referee;
+    }
+
+    ArchiveServer archive() {
+        return archive;
+    }
+
+    DiscoveryServer discovery() {
+        return discovery;
+    }
+
+    List<Cache> caches() {
+        return caches;
+    }
+
+    /** A loop for clients. */
+    public EventLoop loop() {
+        return group.next();
+    }
+
+    /** Reads served from memory so far, by all caches. */
+    public long hits() {
+        return caches.stream().mapToLong(cache -> cache.server.hits()).sum();
+    }
+
+    /** Reads fetched so far, by all caches. */
+    public long misses() {
+        return caches.stream().mapToLong(cache -> cache.server.misses()).sum();
+    }
+
+    /** Fetches and writes that the archive was sent so far. */
+    public long fetches() {
+        return archive.taken();
+    }
+
+    @Override
+    public void close() {
+        for (Place place : places) {
+            if (place.process != null) {
+                place.process.close();
+            }
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/referee/Referee.java
@@ -0,0 +1,265 @@
+package frostrelay.rig.referee;
+
+import frostrelay.rig.cache.ColdMeter;
+import frostrelay.rig.client.ClientWatch;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Watches both ends and counts what a balancer broke. It hears from clients what they asked and got, from caches what
+ * reached them and ran, and from discovery and operators what balancers were told; from balancers it hears nothing.
+ * Times are nanoseconds of one clock. Safe for threads.
+ */
+public final class Referee implements ClientWatch {
+    /** How often a request may take effect. */
+    public enum Effect { REPEATABLE, KEYED, NEVER_TWICE }
+
+    /** How a request ended for its client. */
+    public enum Ending { SERVED, REFUSED, FAILED }
+
+    /** One breach, in words. */
+    public record Breach(Rule rule, String what) {
+    }
+
+    /** What the rules allow; nanoseconds. */
+    public record Bounds(long drain, long window, ColdMeter.Warmth warmth, double cores) {
+    }
+
+    private static final int MOST_KEPT_BREACHES = 100;
+    /** Requests this much older than the newest are forgotten: nothing can come for them any more. */
+    private static final long FORGET = 60_000_000_000L;
+    private static final long BOTH_SHARES = 2;
+    private static final long THREE_SHARES = 3;
+
+    private static final class Request {
+        final String intent;
+        final Effect effect;
+        final long at;
+        Ending ending;
+        boolean closed;
+        int received;
+        int runs;
+        final Set<Long> made = new HashSet<>(2);
+
+        Request(String intent, Effect effect, long at) {
+            this.intent = intent;
+            this.effect = effect;
+            this.at = at;
+        }
+    }
+
+    private final Bounds bounds;
+    private final Map<String, Request> requests = new LinkedHashMap<>();
+    /** Runs of a never-twice intent over its client's tries, and of a keyed one by its key, with the time of the last. */
+    private final Map<String, long[]> runs = new LinkedHashMap<>();
+    /** Since when a balancer knows that a cache is not to be used. */
+    private final Map<String, Long> drained = new HashMap<>();
+    private final Map<String, ColdMeter> allWork = new HashMap<>();
+    private final Map<String, ColdMeter> knowingWork = new HashMap<>();
+    private final Set<String> knowing = new HashSet<>();
+    private final Map<Rule, Integer> counts = new EnumMap<>(Rule.class);
+    private final List<Breach> breaches = new ArrayList<>();
+    private long attempts;
+    private long firsts;
+
+    /** {@code bounds}: the figures of the rules. */
+    public Referee(Bounds bounds) {
+        this.bounds = bounds;
+    }
+
+    // From clients.
+
+    @Override
+    public synchronized void asked(long now, String id, String intent, Effect effect) {
+        requests.put(id, new Request(intent, effect, now));
+        for (Iterator<Request> oldest = requests.values().iterator(); oldest.hasNext();) {
+            if (oldest.next().at > now - FORGET) {
+                break;
+            }
+            oldest.remove();
+        }
+        for (Iterator<long[]> oldest = runs.values().iterator(); oldest.hasNext();) {
+            if (oldest.next()[1] > now - FORGET) {
+                break;
+            }
+            oldest.remove();
+        }
+    }
+
+    @Override
+    public synchronized void answered(String id, Ending ending, long content) {
+        Request request = requests.get(id);
+        if (request == null) {
+            breach(Rule.FOREIGN_ANSWER, "an answer for " + id + ", which nobody asked");
+            return;
+        }
+        if (request.ending != null) {
+            breach(Rule.TWO_ANSWERS, id + " was " + request.ending + " and then " + ending);
+            return;
+        }
+        request.ending = ending;
+        if (ending == Ending.SERVED && !request.made.contains(content)) {
+            breach(Rule.FOREIGN_ANSWER, id + " was served with what no cache made for it");
+        }
+        checkRefusal(id, request);
+    }
+
+    private void checkRefusal(String id, Request request) {
+        if (request.ending == Ending.REFUSED && request.runs > 0 && request.effect == Effect.NEVER_TWICE) {
+            breach(Rule.REFUSED_BUT_RAN, id + " was refused and had run");
+        }
+    }
+
+    @Override
+    public synchronized void unasked(String what) {
+        breach(Rule.TWO_ANSWERS, "on a connection with nothing open: " + what);
+    }
+
+    @Override
+    public synchronized void unanswered(String id, String why) {
+        Request request = requests.get(id);
+        if (request != null && request.ending == null && !request.closed) {
+            request.closed = true;
+            breach(Rule.NO_ANSWER, id + ": " + why);
+        }
+    }
+
+    @Override
+    public synchronized void excused(String id) {
+        Request request = requests.get(id);
+        if (request != null) {
+            request.closed = true;
+        }
+    }
+
+    // From caches.
+
+    /** A command came whole from a balancer. {@code work}: what it asks of the cache, in nanoseconds. */
+    public synchronized void received(long now, String cache, String balancer, String id, double work) {
+        Request request = requests.get(id);
+        attempts++;
+        if (request != null && request.received++ == 0) {
+            firsts++;
+        }
+        Long since = drained.get(balancer + ' ' + cache);
+        if (since != null && now - since > bounds.drain) {
+            breach(Rule.DRAIN_IGNORED, String.format("%s reached %s %d ms after %s was told", id, cache,
+                    (now - since) / 1_000_000, balancer));
+        }
+        ColdMeter all = allWork.get(cache);
+        if (all == null) {
+            return;
+        }
+        boolean over = all.reached(now, work);
+        // Two thirds of the work must be of balancers that knew: the second meter has two thirds of the budget.
+        boolean knew = knowing.contains(balancer + ' ' + cache) && knowingWork.get(cache).reached(now, work);
+        if (over && knew) {
+            breach(Rule.COLD_OVERDRIVEN, cache + " was sent more than it bears so soon after its start");
+            allWork.remove(cache);
+        }
+    }
+
+    /** A command took effect. {@code key}: its idempotency key, or null. */
+    public synchronized void ran(long now, String id, String key) {
+        Request request = requests.get(id);
+        if (request == null || request.effect == Effect.REPEATABLE) {
+            return;
+        }
+        request.runs++;
+        boolean keyed = request.effect == Effect.KEYED;
+        String name = keyed ? "key " + key : request.intent;
+        long[] count = runs.computeIfAbsent(name, n -> new long[2]);
+        count[1] = now;
+        if (++count[0] > 1) {
+            breach(keyed ? Rule.KEYED_TWICE : Rule.RAN_TWICE, id + " ran again (" + name + ")");
+        }
+        checkRefusal(id, request);
+    }
+
+    /** A cache made a value or a receipt for a request. */
+    public synchronized void made(String id, long content) {
+        Request request = requests.get(id);
+        if (request != null) {
+            request.made.add(content);
+        }
+    }
+
+    // From discovery and operators.
+
+    /** A balancer was told that a cache drains or is gone, or that it may be used. */
+    public synchronized void told(long now, String balancer, String cache, boolean usable) {
+        if (usable) {
+            drained.remove(balancer + ' ' + cache);
+        } else {
+            drained.putIfAbsent(balancer + ' ' + cache, now);
+        }
+    }
+
+    /** A cache started empty. */
+    public synchronized void started(long now, String cache) {
+        allWork.put(cache, new ColdMeter(bounds.warmth, bounds.cores, now));
+        ColdMeter.Warmth warmth = bounds.warmth;
+        knowingWork.put(cache, new ColdMeter(new ColdMeter.Warmth(warmth.from(), warmth.within(),
+                warmth.multiple() * BOTH_SHARES / THREE_SHARES, warmth.window()), bounds.cores, now));
+        knowing.removeIf(pair -> pair.endsWith(' ' + cache));
+    }
+
+    /** A balancer has heard of the start. */
+    public synchronized void toldStart(String balancer, String cache) {
+        knowing.add(balancer + ' ' + cache);
+    }
+
+    /** A balancer starts anew and knows nothing yet. */
+    public synchronized void forgets(String balancer) {
+        knowing.removeIf(pair -> pair.startsWith(balancer + ' '));
+        drained.keySet().removeIf(pair -> pair.startsWith(balancer + ' '));
+    }
+
+    // What was found.
+
+    private void breach(Rule rule, String what) {
+        counts.merge(rule, 1, Integer::sum);
+        if (breaches.size() < MOST_KEPT_BREACHES) {
+            breaches.add(new Breach(rule, what));
+        }
+    }
+
+    /** Breaches of a rule. */
+    public synchronized int count(Rule rule) {
+        return counts.getOrDefault(rule, 0);
+    }
+
+    /** All breaches. */
+    public synchronized int count() {
+        return counts.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    /** The first breaches, in words. */
+    public synchronized List<Breach> breaches() {
+        return List.copyOf(breaches);
+    }
+
+    /** Sends that reached caches beyond the first of each request. */
+    public synchronized long copies() {
+        return attempts - firsts;
+    }
+
+    /** Sends that reached caches. */
+    public synchronized long attempts() {
+        return attempts;
+    }
+
+    /** What identifies a value or a receipt. */
+    public static long content(byte[] bytes) {
+        java.util.zip.CRC32C crc = new java.util.zip.CRC32C();
+        crc.update(bytes);
+        return crc.getValue() << 24 ^ bytes.length;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/referee/Rule.java
@@ -0,0 +1,21 @@
+package frostrelay.rig.referee;
+
+/** What a balancer must keep. */
+public enum Rule {
+    /** A request that was taken got no final answer in its time. */
+    NO_ANSWER,
+    /** A request got more than one final answer. */
+    TWO_ANSWERS,
+    /** A request of a class that must never run twice ran twice. */
+    RAN_TWICE,
+    /** A keyed write took effect twice. */
+    KEYED_TWICE,
+    /** A request was refused, which makes a repeat harmless, and had run. */
+    REFUSED_BUT_RAN,
+    /** A request was answered with what no cache made for it. */
+    FOREIGN_ANSWER,
+    /** Work was sent to a cache too long after the balancer was told that it drains or is gone. */
+    DRAIN_IGNORED,
+    /** A cache that had just started was sent more than it can bear. */
+    COLD_OVERDRIVEN
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/wire/MetaMessage.java
@@ -0,0 +1,36 @@
+package frostrelay.rig.wire;
+
+import java.util.List;
+
+/** One line of the memcache meta protocol, in either direction, with its data block if it has one. */
+public record MetaMessage(List<String> words, byte[] data) {
+    /** The word at a place, or an empty text behind the last. */
+    public String word(int at) {
+        return at < words.size() ? words.get(at) : "";
+    }
+
+    /** What follows the first word that begins with a letter, from the third word on; null if there is none. */
+    public String flag(char letter) {
+        for (int i = 1; i < words.size(); i++) {
+            String word = words.get(i);
+            if (word.charAt(0) == letter && i >= (words.get(0).startsWith("m") ? 2 : 1)) {
+                return word.substring(1);
+            }
+        }
+        return null;
+    }
+
+    /** The value of a name in the list behind the flag P; null if it is not there. */
+    public String figure(String name) {
+        String list = flag('P');
+        if (list == null) {
+            return null;
+        }
+        for (String figure : list.split(",")) {
+            if (figure.startsWith(name) && figure.startsWith("=", name.length())) {
+                return figure.substring(name.length() + 1);
+            }
+        }
+        return null;
+    }
+}
