--- a/cli/src/main/java/frostrelay/cli/LoadCommand.java
+++ b/cli/src/main/java/frostrelay/cli/LoadCommand.java
@@ -1,6 +1,6 @@
 package frostrelay.cli;
 
-import frostrelay.rig.client.ClientWatch;
+import frostrelay.rig.referee.ClientWatch;
 import frostrelay.rig.client.Front;
 import frostrelay.rig.client.OpenLoop;
 import frostrelay.rig.client.Tally;
--- /dev/null
+++ b/cli/src/test/java/frostrelay/BordersTest.java
@@ -0,0 +1,63 @@
+package frostrelay;
+
+import static com.tngtech.archunit.base.DescribedPredicate.not;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** What may use what. A reader sees it from the tree, and this keeps the tree true. */
+class BordersTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("frostrelay");
+
+    /** Decisions read no clock and know no thread, socket or file: they run alike on sockets and in simulated time. */
+    @Test
+    void decisionsDoNoInputOrOutput() {
+        classes().that().resideInAnyPackage("frostrelay.policy..", "frostrelay.settings..")
+                .should().onlyDependOnClassesThat().resideInAnyPackage("frostrelay.policy..", "frostrelay.settings..",
+                        "java.lang", "java.lang.invoke", "java.util", "java.util.function", "java.util.stream",
+                        "com.tdunning.math.stats..").check(ALL);
+        noClasses().that().resideInAnyPackage("frostrelay.policy..", "frostrelay.settings..")
+                .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().dependOnClassesThat().areAssignableTo(Thread.class).check(ALL);
+    }
+
+    @Test
+    void theBalancerKnowsNothingOfStandInsAndCommands() {
+        noClasses().that().resideInAnyPackage("frostrelay.node..", "frostrelay.console..", "frostrelay.lifecycle..",
+                "frostrelay.log..").should().dependOnClassesThat().resideInAnyPackage("frostrelay.rig..",
+                "frostrelay.cli..", "frostrelay.config..", "frostrelay.adapter..", "picocli..", "org.tomlj..",
+                "org.HdrHistogram..", "org.apache.commons..").check(ALL);
+    }
+
+    /** What watches and plays the balancer's peers shares no code with it: a fault of both would not be seen. */
+    @Test
+    void standInsAndRefereeShareNothingWithTheBalancer() {
+        noClasses().that().resideInAPackage("frostrelay.rig..").should().dependOnClassesThat().resideInAnyPackage(
+                "frostrelay.node..", "frostrelay.policy..", "frostrelay.console..", "frostrelay.lifecycle..",
+                "frostrelay.cli..").check(ALL);
+    }
+
+    @Test
+    void theRefereeDoesNoInputOrOutput() {
+        noClasses().that().resideInAnyPackage("frostrelay.rig.referee..").should().dependOnClassesThat(
+                resideInAnyPackage("io.netty..", "java.net..", "java.io..", "java.nio..")).check(ALL);
+    }
+
+    @Test
+    void noCyclesBetweenPackages() {
+        slices().matching("frostrelay.(**)").should().beFreeOfCycles().check(ALL);
+    }
+
+    @Test
+    void onlyTheCommandLinePrints() {
+        noClasses().that(not(resideInAnyPackage("frostrelay.cli..", "frostrelay.adapter.."))).should()
+                .accessField(System.class, "out").orShould().accessField(System.class, "err").check(ALL);
+    }
+}
--- a/config/src/main/java/frostrelay/config/TomlFile.java
+++ b/config/src/main/java/frostrelay/config/TomlFile.java
@@ -56,18 +56,33 @@
     /** Likewise from a text; {@code file} is how problems name it. */
     public static Values parse(String file, String text, Table form) {
         TomlFile reader = new TomlFile(file);
-        TomlParseResult toml = Toml.parse(text);
-        for (TomlParseError error : toml.errors()) {
-            reader.problems.add(new Problem(file, error.position().line(), "", "no TOML", error.getMessage()));
-        }
+        TomlParseResult toml = reader.parse(text);
         // What stands behind a slip in the text may belong elsewhere: keys are looked at only in a sound text.
-        Values values = toml.hasErrors() ? null : reader.table("", toml, form, 1);
+        Values values = toml == null ? null : reader.table("", toml, form, 1);
         if (!reader.problems.isEmpty()) {
             throw new BadConfigException(reader.problems);
         }
         return values;
     }
 
+    /** A sound text as tables; null where it is none, with what is wrong noted. */
+    private TomlParseResult parse(String text) {
+        try {
+            TomlParseResult toml = Toml.parse(text);
+            toml.errors().forEach(this::noToml);
+            return toml.hasErrors() ? null : toml;
+        } catch (TomlParseError e) {
+            // Some slips, as a bad escape in a key, are thrown instead of listed.
+            noToml(e);
+            return null;
+        }
+    }
+
+    private void noToml(TomlParseError error) {
+        problems.add(new Problem(file, error.position().line(), "", "no TOML",
+                String.valueOf(error.getMessage()).replaceAll("\\p{Cntrl}", " ")));
+    }
+
     /** The values where there is no file. */
     public static Values standard(Table form) {
         return parse("", "", form);
--- a/rig/src/main/java/frostrelay/rig/archive/ArchiveClient.java
+++ b/rig/src/main/java/frostrelay/rig/archive/ArchiveClient.java
@@ -3,7 +3,7 @@
 import frostrelay.rig.wire.MetaCodec;
 import frostrelay.rig.wire.MetaMessage;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -30,7 +30,7 @@
     private final InetSocketAddress archive;
     private final EventLoop loop;
     private final Map<String, Call> calls = new HashMap<>();
-    private Channel channel;
+    private ChannelFuture up;
     private long lastId;
 
     /** {@code archive}: where it listens. */
@@ -55,21 +55,24 @@
         String id = Long.toHexString(++lastId);
         Future<?> late = loop.schedule(() -> end(id, null), timeout, TimeUnit.NANOSECONDS);
         calls.put(id, new Call(done, late));
-        if (channel == null) {
-            channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        if (up == null) {
+            up = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .handler(new ChannelInitializer<SocketChannel>() {
                         @Override
                         protected void initChannel(SocketChannel fresh) {
                             fresh.pipeline().addLast(new MetaCodec(), new Answers());
                         }
-                    }).connect(archive).addListener(up -> {
-                        if (!up.isSuccess()) {
-                            lost();
-                        }
-                    }).channel();
+                    }).connect(archive);
         }
-        channel.writeAndFlush(MetaCodec.encode(channel.alloc(), command + " O" + id, data));
+        // What is written before the connection is up would be lost.
+        up.addListener((ChannelFuture opened) -> {
+            if (opened.isSuccess()) {
+                opened.channel().writeAndFlush(MetaCodec.encode(opened.channel().alloc(), command + " O" + id, data));
+            } else {
+                lost();
+            }
+        });
     }
 
     private void end(String id, MetaMessage answer) {
@@ -81,7 +84,7 @@
     }
 
     private void lost() {
-        channel = null;
+        up = null;
         List.copyOf(calls.keySet()).forEach(id -> end(id, null));
     }
 
--- a/rig/src/main/java/frostrelay/rig/bench/Bench.java
+++ b/rig/src/main/java/frostrelay/rig/bench/Bench.java
@@ -160,7 +160,8 @@
 
     private Between balancer(Program program, Path folder) throws IOException, InterruptedException {
         Day demo = DayFile.demo().quiet();
-        Day day = new Day(1, demo.length(), CACHES, 1, 0, demo.drainGrace(), demo.cache(), demo.archive(), demo.load(),
+        Day day = new Day(1, demo.length(), CACHES, 1, 0, demo.drainGrace(), demo.repeatWindow(),
+                demo.cache(), demo.archive(), demo.load(),
                 List.of(new ClassSpec("read", 1, 100_000, 100_000, SECOND_MS * 1_000_000, 2 * SECOND_MS * 1_000_000, 1,
                         Referee.Effect.REPEATABLE)), List.of(new TenantSpec("bench", 1)), List.of());
         EventLoop loop = cacheGroup.next();
--- a/rig/src/main/java/frostrelay/rig/cache/CacheServer.java
+++ b/rig/src/main/java/frostrelay/rig/cache/CacheServer.java
@@ -1,5 +1,6 @@
 package frostrelay.rig.cache;
 
+import frostrelay.rig.referee.ColdMeter;
 import frostrelay.rig.archive.ArchiveClient;
 import frostrelay.rig.referee.Referee;
 import frostrelay.rig.wire.Loopback;
@@ -40,6 +41,7 @@
     private static final double HINT_ERROR = 0.15;
     private static final long MICROSECOND = 1_000L;
     private static final long DEFAULT_WORK_US = 1_000;
+    private static final long START_MS = 50;
 
     /** One command that came and has not been answered. */
     private final class Job {
@@ -168,20 +170,24 @@
         fetching.clear();
     }
 
-    /** The process starts again, empty and cold, at its old addresses; it is killed first if it runs. */
-    public void restart() {
+    /**
+     * The process starts again, empty and cold, at its old addresses; it is killed first if it runs. {@code started}
+     * runs once it does, on the cache's loop.
+     */
+    public void restart(Runnable started) {
         loop.execute(() -> {
             die();
-            loop.schedule(this::revive, 50, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> revive(started), START_MS, TimeUnit.MILLISECONDS);
         });
     }
 
-    private void revive() {
+    private void revive(Runnable started) {
         restore(true);
         referee.started(startedAt, name);
         silent = false;
         draining = false;
         down = false;
+        started.run();
         listens.forEach((balancer, address) -> bootstrap(balancer).bind(address).addListener(bound -> {
             if (bound.isSuccess()) {
                 servers.add(((io.netty.channel.ChannelFuture) bound).channel());
--- a/rig/src/main/java/frostrelay/rig/cache/CacheSpec.java
+++ b/rig/src/main/java/frostrelay/rig/cache/CacheSpec.java
@@ -1,5 +1,7 @@
 package frostrelay.rig.cache;
 
+import frostrelay.rig.referee.ColdMeter;
+
 /**
  * What a cache machine is. {@code cores}, {@code slots}, {@code queue}: see {@link WorkEngine}; {@code memory}: bytes
  * of values; {@code connections}: the most it holds;
--- a/rig/src/main/java/frostrelay/rig/client/OpenLoop.java
+++ b/rig/src/main/java/frostrelay/rig/client/OpenLoop.java
@@ -2,6 +2,7 @@
 
 import frostrelay.rig.day.ClassSpec;
 import frostrelay.rig.day.Day;
+import frostrelay.rig.referee.ClientWatch;
 import frostrelay.rig.referee.Referee;
 import frostrelay.rig.referee.Referee.Effect;
 import frostrelay.rig.referee.Referee.Ending;
--- a/rig/src/main/java/frostrelay/rig/day/DayFile.java
+++ b/rig/src/main/java/frostrelay/rig/day/DayFile.java
@@ -7,7 +7,7 @@
 import frostrelay.config.Values;
 import frostrelay.rig.archive.ArchiveSpec;
 import frostrelay.rig.cache.CacheSpec;
-import frostrelay.rig.cache.ColdMeter;
+import frostrelay.rig.referee.ColdMeter;
 import frostrelay.rig.referee.Referee;
 import java.io.IOException;
 import java.io.InputStream;
@@ -37,7 +37,9 @@
                         .whole("balancers", 2L, 1, 16, "Balancers, each a process.")
                         .duration("discovery-lateness", "500ms", "0ms", "60s", "From a change to its being told.")
                         .duration("drain-grace", "500ms", "50ms", "60s",
-                                "How long work may still be sent to a cache after its drain was told."))
+                                "How long work may still be sent to a cache after its drain was told.")
+                        .duration("repeat-window", "8s", "1ms", "600s",
+                                "How long caches drop repeats of a keyed write."))
                 .table("cache", new Table("What each cache is.")
                         .whole("cores", 1L, 1, 64, "Cores that share the work.")
                         .whole("slots", 16L, 1, 4096, "Requests in work at once.")
@@ -151,7 +153,7 @@
             throw new BadConfigException(problems);
         }
         return new Day(values.whole("seed"), values.whole("length"), (int) fleet.whole("caches"),
-                (int) fleet.whole("balancers"), fleet.whole("discovery-lateness"), fleet.whole("drain-grace"),
+                (int) fleet.whole("balancers"), fleet.whole("discovery-lateness"), fleet.whole("drain-grace"), fleet.whole("repeat-window"),
                 cache(values.table("cache")), archive(values.table("archive")), new LoadSpec(load.number("rate"),
                 (int) load.whole("keys"), load.number("zipf"), (int) load.whole("retries"), load.whole("backoff"),
                 load.number("patience-least"), load.number("patience-most")), classes, tenants, faults);
--- a/rig/src/main/java/frostrelay/rig/fleet/BalancerConfig.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/BalancerConfig.java
@@ -19,8 +19,6 @@
     private static final int MAX_OPEN = 20_000;
     private static final int SOCKETS = 1024;
     private static final int MEMORY_MB = 192;
-    /** How long caches drop repeats of a keyed write. */
-    static final long REPEAT_WINDOW = 8 * SECOND;
 
     private BalancerConfig() {
     }
@@ -50,7 +48,7 @@
             classes.add(object("name", one.name(), "effect", one.effect() == Referee.Effect.REPEATABLE ? "retryable"
                     : one.effect() == Referee.Effect.KEYED ? "dedup" : "fragile", "group", "all",
                     "goal-time-ns", one.aim(), "deadline-ns", one.deadline(), "worth", one.worth(),
-                    "late-worth", 0.3, "window-ns", REPEAT_WINDOW));
+                    "late-worth", 0.3, "window-ns", day.repeatWindow()));
         }
         List<Object> tenants = new ArrayList<>();
         for (TenantSpec one : day.tenants()) {
--- a/rig/src/main/java/frostrelay/rig/fleet/Faults.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/Faults.java
@@ -155,8 +155,9 @@
     }
 
     private void start(Fleet.Cache cache) {
-        cache.server().restart();
-        fleet.discovery().change(new Member(cache.server().name(), Member.State.READY, System.currentTimeMillis()));
+        // Nobody can be told of a start that has not been.
+        cache.server().restart(() -> fleet.discovery().change(new Member(cache.server().name(), Member.State.READY,
+                System.currentTimeMillis())));
     }
 
     private void hold(Fleet.Place balancer, String cache, boolean on) throws IOException, InterruptedException {
--- a/rig/src/main/java/frostrelay/rig/fleet/Fleet.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/Fleet.java
@@ -58,7 +58,7 @@
         archive = new ArchiveServer(day.archive(), group.next(), day.seed());
         discovery = new DiscoveryServer(group.next(), referee, day.lateness());
         InetSocketAddress source = archive.start();
-        RepeatFilter repeats = new RepeatFilter(BalancerConfig.REPEAT_WINDOW);
+        RepeatFilter repeats = new RepeatFilter(day.repeatWindow());
         List<CacheServer> servers = new CopyOnWriteArrayList<>();
         List<Map<String, String>> endpoints = new ArrayList<>();
         for (int place = 0; place < day.balancers(); place++) {
--- a/rig/src/main/java/frostrelay/rig/client/ClientWatch.java
+++ b/rig/src/main/java/frostrelay/rig/referee/ClientWatch.java
@@ -1,7 +1,4 @@
-package frostrelay.rig.client;
-
-import frostrelay.rig.referee.Referee.Effect;
-import frostrelay.rig.referee.Referee.Ending;
+package frostrelay.rig.referee;
 
 /** Hears what clients ask and get. Times in nanoseconds; {@code id} is that of a try. */
 public interface ClientWatch {
@@ -10,11 +7,11 @@
     };
 
     /** A request goes out. {@code intent}: the first try that it belongs to, its own id for a first try. */
-    default void asked(long now, String id, String intent, Effect effect) {
+    default void asked(long now, String id, String intent, Referee.Effect effect) {
     }
 
     /** A final answer came. {@code content}: what identifies a value or receipt, for served requests. */
-    default void answered(String id, Ending ending, long content) {
+    default void answered(String id, Referee.Ending ending, long content) {
     }
 
     /** Something came that belongs to no open request. */
--- a/rig/src/main/java/frostrelay/rig/cache/ColdMeter.java
+++ b/rig/src/main/java/frostrelay/rig/referee/ColdMeter.java
@@ -1,4 +1,4 @@
-package frostrelay.rig.cache;
+package frostrelay.rig.referee;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/rig/src/main/java/frostrelay/rig/referee/Referee.java
+++ b/rig/src/main/java/frostrelay/rig/referee/Referee.java
@@ -1,7 +1,5 @@
 package frostrelay.rig.referee;
 
-import frostrelay.rig.cache.ColdMeter;
-import frostrelay.rig.client.ClientWatch;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
--- /dev/null
+++ b/rig/src/test/java/frostrelay/rig/referee/FaultyBalancer.java
@@ -0,0 +1,187 @@
+package frostrelay.rig.referee;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * A balancer that forwards each request to a cache by turns and breaks one rule now and then, on purpose. It shows that
+ * the referee would see it.
+ */
+final class FaultyBalancer implements AutoCloseable {
+    /** What it does wrong. */
+    enum Fault {
+        NONE, SAYS_NOTHING, ENDS_THE_CONNECTION, ANSWERS_TWICE, SENDS_USES_TWICE, SENDS_NOTES_LATE_AGAIN,
+        REFUSES_WHAT_RAN, MIXES_VALUES_UP, MAKES_RECEIPTS_UP, SENDS_TO_THE_FIRST_ONLY
+    }
+
+    /** Every so many requests go wrong. */
+    private static final int EVERY = 10;
+    private final Fault fault;
+    private final long lateMs;
+    private final List<InetSocketAddress> caches = new ArrayList<>();
+    private final ServerSocket server;
+    private final InetSocketAddress discovery;
+    private final AtomicInteger turn = new AtomicInteger();
+    private volatile byte[] lastValue;
+
+    /** {@code config}: as a real balancer would get it; {@code lateMs}: how long it waits before it sends late. */
+    FaultyBalancer(String config, InetSocketAddress listen, Fault fault, long lateMs) throws IOException {
+        this.fault = fault;
+        this.lateMs = lateMs;
+        Map<?, ?> json = JSON.std.mapFrom(config);
+        for (Object target : (List<?>) ((Map<?, ?>) json.get("known")).get("targets")) {
+            caches.add(address((String) ((Map<?, ?>) target).get("endpoint")));
+        }
+        server = new ServerSocket(listen.getPort(), 200, listen.getAddress());
+        discovery = address((String) json.get("discovery"));
+    }
+
+    /** Takes clients, and asks discovery and hears everything; what it makes of that is its fault. */
+    void start() {
+        run(() -> {
+            while (true) {
+                Socket client = server.accept();
+                run(() -> serve(client));
+            }
+        });
+        run(() -> {
+            while (!server.isClosed()) {
+                try (Socket socket = new Socket(discovery.getAddress(), discovery.getPort())) {
+                    socket.getOutputStream().write("GET /catalog/members HTTP/1.1\r\nHost: x\r\n\r\n"
+                            .getBytes(StandardCharsets.ISO_8859_1));
+                    socket.getInputStream().readAllBytes();
+                }
+                pause(50);
+            }
+        });
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.indexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    private static void run(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // The test is over, or the far end is.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A line with its data behind it, in one piece. */
+    private record Frame(String line, byte[] bytes) {
+    }
+
+    private static Frame read(InputStream in) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        for (int c = in.read(); c >= 0; c = in.read()) {
+            bytes.write(c);
+            if (c == '\n') {
+                String line = bytes.toString(StandardCharsets.ISO_8859_1).strip();
+                String[] words = line.split(" ");
+                int length = words[0].equals("ms") ? Integer.parseInt(words[2])
+                        : words[0].equals("VA") ? Integer.parseInt(words[1]) : -2;
+                bytes.write(in.readNBytes(length + 2));
+                return new Frame(line, bytes.toByteArray());
+            }
+        }
+        return null;
+    }
+
+    /** Null if the cache cannot be had. */
+    private Frame ask(InetSocketAddress cache, Frame command) {
+        try (Socket socket = new Socket(cache.getAddress(), cache.getPort())) {
+            socket.getOutputStream().write(command.bytes);
+            return read(new BufferedInputStream(socket.getInputStream()));
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    private void serve(Socket client) throws IOException {
+        try (client) {
+            client.setTcpNoDelay(true);
+            InputStream in = new BufferedInputStream(client.getInputStream());
+            for (Frame command = read(in); command != null; command = read(in)) {
+                answer(client, command);
+            }
+        }
+    }
+
+    private void answer(Socket client, Frame command) throws IOException {
+        int number = turn.incrementAndGet();
+        boolean wrong = number % EVERY == 0;
+        boolean use = command.line.contains("c=use");
+        InetSocketAddress cache = caches.get(fault == Fault.SENDS_TO_THE_FIRST_ONLY ? 0 : number % caches.size());
+        if (wrong && fault == Fault.SAYS_NOTHING) {
+            return;
+        }
+        // By its id: a client sends once more what a close may have crossed.
+        if (fault == Fault.ENDS_THE_CONNECTION && command.line.split(" ")[3].hashCode() % EVERY == 0) {
+            client.close();
+            return;
+        }
+        Frame answer = ask(cache, command);
+        if (answer == null) {
+            answer = new Frame("", "SERVER_ERROR failed\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        }
+        if (use && fault == Fault.SENDS_USES_TWICE) {
+            answer = ask(caches.get((number + 1) % caches.size()), command);
+        }
+        byte[] bytes = answer.bytes;
+        if (use && fault == Fault.REFUSES_WHAT_RAN) {
+            bytes = "SERVER_ERROR busy\r\n".getBytes(StandardCharsets.ISO_8859_1);
+        }
+        if (use && fault == Fault.MAKES_RECEIPTS_UP) {
+            bytes = (answer.line.replaceFirst(" c\\S+", " cffff") + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+        }
+        if (answer.line.startsWith("VA")) {
+            byte[] other = lastValue;
+            lastValue = bytes;
+            if (wrong && fault == Fault.MIXES_VALUES_UP && other != null) {
+                bytes = other;
+            }
+        }
+        client.getOutputStream().write(bytes);
+        if (wrong && fault == Fault.ANSWERS_TWICE) {
+            client.getOutputStream().write(bytes);
+        }
+        if (command.line.contains("c=note") && fault == Fault.SENDS_NOTES_LATE_AGAIN) {
+            pause(lateMs);
+            ask(caches.get((number + 1) % caches.size()), command);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
