Part a request's life from memcache's form; make no lambdas on its way

Balancer, ClientServer and HostPool mixed memcache's form with a request's life, so no second front or back could join. Ask, Reply, Backend and Exchange.Client name no protocol; the memcache classes implement them, and ArchUnit holds that the life depends on none of them.

A profile of the loop (perf, 3 kHz, closed loop): 50% kernel, 11% Netty's recycler, buffers and pipeline, 6.7% java.lang, 4% the balancer's own classes, and 2 to 3% in Unsafe.allocateInstance: without the second compiler each capturing lambda is made through the JVM, nine times a request. The frequent ones are classes now.

--- a/cli/src/test/java/frostrelay/BordersTest.java
+++ b/cli/src/test/java/frostrelay/BordersTest.java
@@ -50,6 +50,14 @@
                 resideInAnyPackage("io.netty..", "java.net..", "java.io..", "java.nio..")).check(ALL);
     }
 
+    /** So that a second front and a second back can join. */
+    @Test
+    void aRequestsLifeNamesNoProtocol() {
+        noClasses().that().haveNameMatching("frostrelay\\.node\\.(Balancer|Exchange|Attempt|Ask|Reply|Backend|ValueStream)"
+                + "(\\$.*)?").should().dependOnClassesThat().haveNameMatching(
+                "frostrelay\\.node\\.(Meta.*|Command|ClientServer|HostPool)(\\$.*)?").check(ALL);
+    }
+
     @Test
     void noCyclesBetweenPackages() {
         slices().matching("frostrelay.(**)").should().beFreeOfCycles().check(ALL);
--- /dev/null
+++ b/node/src/main/java/frostrelay/node/Ask.java
@@ -0,0 +1,35 @@
+package frostrelay.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+
+/** What a client asks for, checked, whatever protocol it speaks: as much as a request's life needs to know of it. */
+interface Ask {
+    /** Under which its hosts know the request. */
+    String id();
+
+    /** Its class and tenant, by their numbers in the settings. */
+    int requestClass();
+
+    int tenant();
+
+    /** The key as the module's number. */
+    long keyNumber();
+
+    /** How long the client waits, in milliseconds. */
+    long waitMs();
+
+    /** Expected work in nanoseconds, 0 if not told. */
+    long work();
+
+    /** Whether the client says that it asks again. */
+    boolean repeat();
+
+    boolean write();
+
+    /** Bytes that it holds until it is over. */
+    int bytes();
+
+    /** As a host is told it, with how long is left to wait. */
+    ByteBuf encode(ByteBufAllocator alloc, long leftMs);
+}
--- a/node/src/main/java/frostrelay/node/Attempt.java
+++ b/node/src/main/java/frostrelay/node/Attempt.java
@@ -12,8 +12,8 @@
     boolean over;
     /** Ends the wait at {@link #cutAt}. */
     Future<?> cut;
-    /** The connection that carries it, or will once it is up; null before and after. */
-    HostPool.Link link;
+    /** What carries it, or will once it is up; null before and after. */
+    Backend.Carrier carrier;
 
     Attempt(Exchange exchange, int number, long sentAt, long cutAt) {
         this.exchange = exchange;
@@ -24,6 +24,6 @@
 
     /** Whether its last byte has left: from then on it may run. */
     boolean written() {
-        return link != null && link.written();
+        return carrier != null && carrier.written();
     }
 }
--- /dev/null
+++ b/node/src/main/java/frostrelay/node/Backend.java
@@ -0,0 +1,53 @@
+package frostrelay.node;
+
+import frostrelay.policy.Api;
+import frostrelay.policy.Api.Reason;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Where attempts go: hosts of one kind, and the connections to them. Runs on the event loop. */
+interface Backend {
+    /** Hears how attempts end, but for those that were abandoned; {@code value}: what is still coming, or null. */
+    interface Listener {
+        void onAnswer(Attempt attempt, Reason reason, Reply answer, ValueStream value);
+    }
+
+    /** Makes a backend for a balancer's hosts. */
+    interface Maker {
+        Backend create(CurrentSite site, Listener listener);
+    }
+
+    /** What carries an attempt. */
+    interface Carrier {
+        /** Whether the attempt's last byte has left: from then on it may run. */
+        boolean written();
+    }
+
+    /** Applies a list before the module sees it, so that every host it may name is known here. */
+    void update(Api.ListMode mode, List<Catalog.Member> members);
+
+    /** Operators hold these hosts out of use, all of them and no others. */
+    void hold(Set<Long> servers);
+
+    /** Whether the list names the host. */
+    boolean lists(long server);
+
+    void send(Attempt attempt, long server);
+
+    /** Ends the wait for an attempt. */
+    void abandon(Attempt attempt);
+
+    void closeIdle(long server);
+
+    /** From now on so many connections are held at most; idle ones make room. */
+    void limit(int most);
+
+    /** Retires what was idle for too long; called once in a while. */
+    void sweep();
+
+    /** Connections that are held. */
+    int links();
+
+    void gauges(Map<String, Object> into);
+}
--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -20,7 +20,7 @@
  * <p>All of it runs on the one event loop. Events reach the module one at a time: an outcome that an action
  * causes at once is queued and handed over when the module has returned, as the module is not reentrant.
  */
-final class Balancer implements Api.Actions, HostPool.Listener, Discovery.Listener {
+final class Balancer implements Api.Actions, Backend.Listener, Discovery.Listener {
     /**
      * A client counts its wait from when it sent, not from when the request was read here, and the answer
      * has its way to go as well: this much is taken off, so that a final answer is there before it is overdue.
@@ -34,14 +34,136 @@
         Api.Events create(Api.Settings settings, long seed, Api.Actions actions);
     }
 
-    private record Event(Exchange exchange, Runnable action) {
+    /**
+     * What the module is to be told. The frequent ones are classes of their own: without the second compiler, which this
+     * program does not load, a lambda that holds something is made through a slow call into the JVM each time.
+     */
+    private abstract static class Event {
+        final Exchange exchange;
+
+        Event(Exchange exchange) {
+            this.exchange = exchange;
+        }
+
+        abstract void tell();
+    }
+
+    private static final class Rare extends Event {
+        private final Runnable action;
+
+        Rare(Exchange exchange, Runnable action) {
+            super(exchange);
+            this.action = action;
+        }
+
+        @Override
+        void tell() {
+            action.run();
+        }
+    }
+
+    private final class Asked extends Event {
+        Asked(Exchange exchange) {
+            super(exchange);
+        }
+
+        @Override
+        void tell() {
+            Ask ask = exchange.ask;
+            router.onRequest(Clock.now(), new Api.Request(exchange.id, ask.requestClass(), ask.tenant(),
+                    ask.keyNumber(), exchange.deadline, ask.work(), ask.repeat(), ask.write()));
+        }
+    }
+
+    private final class Ended extends Event {
+        private final Attempt attempt;
+        private final Reason reason;
+        private final Reply answer;
+        private final ValueStream value;
+
+        Ended(Attempt attempt, Reason reason, Reply answer, ValueStream value) {
+            super(attempt.exchange);
+            this.attempt = attempt;
+            this.reason = reason;
+            this.answer = answer;
+            this.value = value;
+        }
+
+        @Override
+        void tell() {
+            exchange.pending--;
+            if (reason == Reason.OK && close(exchange)) {
+                counters.served++;
+                exchange.client.served(answer, value);
+            } else if (value != null) {
+                value.cancel();
+            }
+            float[] report = site().report(answer == null ? null : answer.report());
+            long now = Clock.now();
+            router.onOutcome(now, new Api.Outcome(exchange.id, attempt.number, reason, now - attempt.sentAt,
+                    exchange.over, report));
+        }
+    }
+
+    private final class Timer extends Event implements Runnable {
+        private final long moment;
+        private final int token;
+
+        Timer(long moment, int token) {
+            super(null);
+            this.moment = moment;
+            this.token = token;
+        }
+
+        @Override
+        public void run() {
+            counters.timer(Clock.now() - moment);
+            post(this);
+        }
+
+        @Override
+        void tell() {
+            router.onTimer(Clock.now(), token);
+        }
+    }
+
+    private final class LastCall implements Runnable {
+        private final Exchange exchange;
+
+        LastCall(Exchange exchange) {
+            this.exchange = exchange;
+        }
+
+        /** The module has not answered in time; whatever the reason, the client must not be left without. */
+        @Override
+        public void run() {
+            if (!exchange.over) {
+                counters.lastCalls++;
+                settle(exchange);
+            }
+        }
+    }
+
+    private final class Cut implements Runnable {
+        private final Attempt attempt;
+
+        Cut(Attempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void run() {
+            counters.timer(Clock.now() - attempt.cutAt);
+            // What never left cannot have run: its connection did not come up in time.
+            drop(attempt, attempt.written() ? Reason.TIMEOUT : Reason.CONNECT_FAILED);
+        }
     }
 
     private final CurrentSite site;
     private final EventLoop loop;
     private final Counters counters;
     private final Api.Events router;
-    private final HostPool pool;
+    private final Backend pool;
     private final Discovery discovery;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
     /** The ids of requests that are owed an answer. */
@@ -51,13 +173,13 @@
     private boolean inModule;
     private long lastId;
 
-    Balancer(Config config, EventLoop loop, Counters counters, Module module, Budget budget,
-             int mostConnections, SharedFolder.Look shared) {
+    Balancer(Config config, EventLoop loop, Counters counters, Module module, Backend.Maker backend,
+             Budget budget, SharedFolder.Look shared) {
         this.budget = budget;
         this.site = new CurrentSite(config.site());
         this.loop = loop;
         this.counters = counters;
-        this.pool = new HostPool(site, loop, counters, mostConnections, this);
+        this.pool = backend.create(site, this);
         this.discovery = new Discovery(config, site, loop, this);
         this.router = module.create(config.site().settings, config.seed(), this);
         onOthers(shared.others());
@@ -72,34 +194,27 @@
      * Takes a request, which is answered exactly once unless its client leaves first. Hosts know requests by
      * their ids alone: a second one under an open id could be served with what was made for the first.
      */
-    Exchange take(Command command, Exchange.Client client) throws Command.Malformed {
-        if (openIds.contains(command.opaque)) {
-            throw new Command.Malformed("id is in use");
+    Exchange take(Ask ask, Exchange.Client client) throws IdInUseException {
+        if (openIds.contains(ask.id())) {
+            throw new IdInUseException();
         }
         long now = Clock.now();
-        long deadline = now + command.waitMs * Clock.MILLISECOND - WAYS;
-        Exchange exchange = new Exchange(++lastId, command, deadline, client);
+        long deadline = now + ask.waitMs() * Clock.MILLISECOND - WAYS;
+        Exchange exchange = new Exchange(++lastId, ask, deadline, client);
         counters.taken++;
         // Running out of room is told to the client: a refusal of what never went out does no harm.
-        if (open() >= site().maxOpen || !budget.take(bytes(command))) {
+        if (open() >= site().maxOpen || !budget.take(ask.bytes())) {
             counters.localRefusals++;
             answerRefused(exchange, 0);
             return exchange;
         }
         exchanges.put(exchange.id, exchange);
-        openIds.add(command.opaque);
-        exchange.lastCall = loop.schedule(() -> lastCall(exchange), deadline + LAST_CALL - now,
-                TimeUnit.NANOSECONDS);
-        Api.Request request = new Api.Request(exchange.id, command.requestClass, command.tenant,
-                command.keyNumber(), deadline, command.work, command.repeat, command.write);
-        post(exchange, () -> router.onRequest(Clock.now(), request));
+        openIds.add(ask.id());
+        exchange.lastCall = loop.schedule(new LastCall(exchange), deadline + LAST_CALL - now, TimeUnit.NANOSECONDS);
+        post(new Asked(exchange));
         return exchange;
     }
 
-    private static int bytes(Command command) {
-        return command.value == null ? 0 : command.value.length;
-    }
-
     /** The client of an open request has closed its connection: nothing is owed any more. */
     void clientGone(Exchange exchange) {
         if (close(exchange)) {
@@ -116,7 +231,7 @@
     }
 
     @Override
-    public void onAnswer(Attempt attempt, Reason reason, MetaFrame answer, ValueStream value) {
+    public void onAnswer(Attempt attempt, Reason reason, Reply answer, ValueStream value) {
         end(attempt, reason, answer, value);
     }
 
@@ -178,7 +293,11 @@
     // Events for the module, one at a time.
 
     private void post(Exchange exchange, Runnable action) {
-        events.add(new Event(exchange, action));
+        post(new Rare(exchange, action));
+    }
+
+    private void post(Event added) {
+        events.add(added);
         if (inModule) {
             return;
         }
@@ -194,7 +313,7 @@
 
     private void deliver(Event event) {
         try {
-            event.action.run();
+            event.tell();
         } catch (RuntimeException e) {
             // A fault in the module must not take the other requests with it, nor leave this one open.
             counters.unexpected("unexpected exception", e);
@@ -209,15 +328,7 @@
 
     private void forget(Exchange exchange) {
         if (exchange.over && exchange.pending == 0 && exchanges.remove(exchange.id) != null) {
-            budget.giveBack(bytes(exchange.command));
-        }
-    }
-
-    /** The module has not answered in time; whatever the reason, the client must not be left without. */
-    private void lastCall(Exchange exchange) {
-        if (!exchange.over) {
-            counters.lastCalls++;
-            settle(exchange);
+            budget.giveBack(exchange.ask.bytes());
         }
     }
 
@@ -245,7 +356,7 @@
     }
 
     /** Reports the one outcome of an attempt. */
-    private void end(Attempt attempt, Reason reason, MetaFrame answer, ValueStream value) {
+    private void end(Attempt attempt, Reason reason, Reply answer, ValueStream value) {
         if (attempt.over) {
             if (value != null) {
                 value.cancel();
@@ -259,50 +370,20 @@
         counters.outcome(reason);
         Exchange exchange = attempt.exchange;
         exchange.mayHaveRun |= !reason.neverRan;
-        post(exchange, () -> {
-            exchange.pending--;
-            if (reason == Reason.OK && close(exchange)) {
-                counters.served++;
-                serve(exchange, answer, value);
-            } else if (value != null) {
-                value.cancel();
-            }
-            float[] report = site().report(answer == null ? null : answer.flag(1, 'L'));
-            long now = Clock.now();
-            router.onOutcome(now, new Api.Outcome(exchange.id, attempt.number, reason, now - attempt.sentAt,
-                    exchange.over, report));
-        });
-    }
-
-    /** What a host answered, without what it tells balancers only. */
-    private static String answerLine(Command command, MetaFrame answer) {
-        return command.write ? "HD O" + command.opaque + " c" + answer.flag(1, 'c') + "\r\n"
-                : "VA " + answer.words().get(1) + " O" + command.opaque + "\r\n";
-    }
-
-    private static void serve(Exchange exchange, MetaFrame answer, ValueStream value) {
-        String line = answerLine(exchange.command, answer);
-        if (value == null) {
-            exchange.client.answer(line, answer.data());
-        } else {
-            exchange.client.stream(line, value);
-        }
+        post(new Ended(attempt, reason, answer, value));
     }
 
     private void answerRefused(Exchange exchange, long retryAfterMs) {
         counters.refused++;
-        answer(exchange, retryAfterMs > 0 ? "SERVER_ERROR busy " + retryAfterMs + "\r\n" : "SERVER_ERROR busy\r\n",
-                null);
+        if (close(exchange)) {
+            exchange.client.refused(retryAfterMs);
+        }
     }
 
     private void answerFailed(Exchange exchange) {
         counters.failed++;
-        answer(exchange, "SERVER_ERROR failed\r\n", null);
-    }
-
-    private void answer(Exchange exchange, String line, byte[] data) {
         if (close(exchange)) {
-            exchange.client.answer(line, data);
+            exchange.client.failed();
         }
     }
 
@@ -312,7 +393,7 @@
             return false;
         }
         if (exchanges.containsKey(exchange.id)) {
-            openIds.remove(exchange.command.opaque);
+            openIds.remove(exchange.ask.id());
         }
         return true;
     }
@@ -337,17 +418,11 @@
         } else if (now >= cut) {
             end(attempt, Reason.TIMEOUT, null, null);
         } else {
-            attempt.cut = loop.schedule(() -> cut(attempt), cut - now, TimeUnit.NANOSECONDS);
+            attempt.cut = loop.schedule(new Cut(attempt), cut - now, TimeUnit.NANOSECONDS);
             pool.send(attempt, server);
         }
     }
 
-    private void cut(Attempt attempt) {
-        counters.timer(Clock.now() - attempt.cutAt);
-        // What never left cannot have run: its connection did not come up in time.
-        drop(attempt, attempt.written() ? Reason.TIMEOUT : Reason.CONNECT_FAILED);
-    }
-
     @Override
     public void cancel(long request, int attempt) {
         Exchange exchange = exchanges.get(request);
@@ -376,11 +451,7 @@
 
     @Override
     public void wakeAt(long moment, int token) {
-        long delay = Math.max(0, moment - Clock.now());
-        loop.schedule(() -> {
-            counters.timer(Clock.now() - moment);
-            post(null, () -> router.onTimer(Clock.now(), token));
-        }, delay, TimeUnit.NANOSECONDS);
+        loop.schedule(new Timer(moment, token), Math.max(0, moment - Clock.now()), TimeUnit.NANOSECONDS);
     }
 
     @Override
--- a/node/src/main/java/frostrelay/node/ClientServer.java
+++ b/node/src/main/java/frostrelay/node/ClientServer.java
@@ -192,10 +192,25 @@
         }
     }
 
+    /** An answer has left. */
+    private final class Taken implements ChannelFutureListener {
+        private final int bytes;
+
+        Taken(int bytes) {
+            this.bytes = bytes;
+        }
+
+        @Override
+        public void operationComplete(ChannelFuture done) {
+            unread -= bytes;
+        }
+    }
+
     /** The place of one command in the order of answers. */
     private final class Slot implements Exchange.Client, ValueStream.Sink {
         private final Connection connection;
         private ByteBuf answer;
+        private Command command;
         private Exchange exchange;
         /** The long value behind the answer, until its last piece has been written. */
         private ValueStream value;
@@ -210,7 +225,27 @@
         }
 
         @Override
-        public void answer(String line, byte[] data) {
+        public void served(Reply reply, ValueStream coming) {
+            String line = command.write() ? "HD O" + command.id() + " c" + reply.receipt() + "\r\n"
+                    : "VA " + reply.length() + " O" + command.id() + "\r\n";
+            if (coming == null) {
+                answer(line, reply.data());
+            } else {
+                stream(line, coming);
+            }
+        }
+
+        @Override
+        public void refused(long retryAfterMs) {
+            answer(retryAfterMs > 0 ? "SERVER_ERROR busy " + retryAfterMs + "\r\n" : "SERVER_ERROR busy\r\n", null);
+        }
+
+        @Override
+        public void failed() {
+            answer("SERVER_ERROR failed\r\n", null);
+        }
+
+        void answer(String line, byte[] data) {
             if (!connection.gone) {
                 answer = Command.line(connection.channel.alloc(), line, data);
                 unread += answer.readableBytes();
@@ -218,8 +253,7 @@
             }
         }
 
-        @Override
-        public void stream(String line, ValueStream coming) {
+        private void stream(String line, ValueStream coming) {
             if (connection.gone) {
                 coming.cancel();
                 return;
@@ -300,6 +334,8 @@
         /** The command that was read last, and its place, until it is begun. */
         private Slot pending;
         private MetaFrame pendingFrame;
+        /** Made once: see {@link Balancer} on lambdas. */
+        private final Runnable beginning = this::begin;
 
         Connection(Channel channel, MetaDecoder decoder) {
             this.channel = channel;
@@ -378,7 +414,7 @@
             pending = new Slot(this);
             pendingFrame = frame;
             slots.add(pending);
-            loop.execute(this::begin);
+            loop.execute(beginning);
         }
 
         /**
@@ -457,11 +493,13 @@
                 return;
             }
             try {
-                Command command = new Command(frame, balancer.site());
-                slot.exchange = balancer.take(command, slot);
+                slot.command = new Command(frame, balancer.site());
+                slot.exchange = balancer.take(slot.command, slot);
                 spoke = true;
             } catch (Command.Malformed e) {
                 fault(slot, e.getMessage(), false);
+            } catch (IdInUseException e) {
+                fault(slot, "CLIENT_ERROR " + e.getMessage(), false);
             }
         }
 
@@ -492,7 +530,7 @@
 
         private void write(Slot slot) {
             int bytes = slot.answer.readableBytes();
-            channel.write(slot.answer).addListener(done -> unread -= bytes);
+            channel.write(slot.answer).addListener(new Taken(bytes));
         }
 
         /** The long value of the first slot has been passed on whole. */
--- a/node/src/main/java/frostrelay/node/Command.java
+++ b/node/src/main/java/frostrelay/node/Command.java
@@ -7,7 +7,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** A client's read or write, checked, with what is needed to pass it on in the same words. */
-final class Command {
+final class Command implements Ask {
     private static final int MOST_KEY = 250;
     private static final int MOST_OPAQUE = 32;
     private static final int HEX_KEY = 16;
@@ -23,16 +23,16 @@
         }
     }
 
-    final boolean write;
-    final String key;
-    final String opaque;
-    final byte[] value;
-    final int requestClass;
-    final int tenant;
-    final long waitMs;
-    final boolean repeat;
+    private final boolean write;
+    private final String key;
+    private final String opaque;
+    private final byte[] value;
+    private final int requestClass;
+    private final int tenant;
+    private final long waitMs;
+    private final boolean repeat;
     /** Expected work in nanoseconds, 0 if not told. */
-    final long work;
+    private final long work;
     private final String[] figures;
     private int waitAt = -1;
 
@@ -124,8 +124,49 @@
         throw new Malformed("bad " + name);
     }
 
+    @Override
+    public String id() {
+        return opaque;
+    }
+
+    @Override
+    public int requestClass() {
+        return requestClass;
+    }
+
+    @Override
+    public int tenant() {
+        return tenant;
+    }
+
+    @Override
+    public long waitMs() {
+        return waitMs;
+    }
+
+    @Override
+    public long work() {
+        return work;
+    }
+
+    @Override
+    public boolean repeat() {
+        return repeat;
+    }
+
+    @Override
+    public boolean write() {
+        return write;
+    }
+
+    @Override
+    public int bytes() {
+        return value == null ? 0 : value.length;
+    }
+
     /** The key as the module's number: hexadecimal keys as they are, others by a hash all balancers share. */
-    long keyNumber() {
+    @Override
+    public long keyNumber() {
         try {
             if (key.length() <= HEX_KEY) {
                 return Long.parseUnsignedLong(key, 16);
@@ -137,7 +178,8 @@
     }
 
     /** The bytes for a cache host: all as it came, but for how long is left to wait. */
-    ByteBuf encode(ByteBufAllocator alloc, long leftMs) {
+    @Override
+    public ByteBuf encode(ByteBufAllocator alloc, long leftMs) {
         String[] list = figures.clone();
         list[waitAt] = "d=" + leftMs;
         String line = (write ? "ms " + key + " " + value.length : "mg " + key + " v") + " O" + opaque
--- a/node/src/main/java/frostrelay/node/Exchange.java
+++ b/node/src/main/java/frostrelay/node/Exchange.java
@@ -6,16 +6,19 @@
 
 /** A request that was taken, from its arrival until the outcome of its last attempt. */
 final class Exchange {
-    /** Where the one final answer goes. */
+    /** Where the one final answer goes, in whatever protocol. */
     interface Client {
-        void answer(String line, byte[] data);
+        /** {@code value}: what is still coming in, or null. */
+        void served(Reply reply, ValueStream value);
 
-        /** Likewise, with a value that is still coming in. */
-        void stream(String line, ValueStream value);
+        /** Nothing has run. {@code retryAfterMs}: when to come back, 0 if nothing is said. */
+        void refused(long retryAfterMs);
+
+        void failed();
     }
 
     final long id;
-    final Command command;
+    final Ask ask;
     /** The latest moment for a final answer, on this program's clock. */
     final long deadline;
     final List<Attempt> attempts = new ArrayList<>(2);
@@ -27,9 +30,9 @@
     boolean mayHaveRun;
     Future<?> lastCall;
 
-    Exchange(long id, Command command, long deadline, Client client) {
+    Exchange(long id, Ask ask, long deadline, Client client) {
         this.id = id;
-        this.command = command;
+        this.ask = ask;
         this.deadline = deadline;
         this.client = client;
     }
--- a/node/src/main/java/frostrelay/node/HostPool.java
+++ b/node/src/main/java/frostrelay/node/HostPool.java
@@ -27,12 +27,7 @@
  * Connections to cache hosts, each with one request at a time: never more than a site allows, and an
  * attempt that is given up then costs no other request its connection. Nothing is ever sent again here.
  */
-final class HostPool {
-    /** Hears how attempts end, but for those that it abandoned itself; {@code value}: what is still coming, or null. */
-    interface Listener {
-        void onAnswer(Attempt attempt, Reason reason, MetaFrame answer, ValueStream value);
-    }
-
+final class HostPool implements Backend {
     /** Part of the hosts' idle time after which a connection is retired: a request that crossed the close
      * would end as a reset, which a write cannot repeat. */
     private static final double IDLE_PART = 0.6;
@@ -79,7 +74,8 @@
     }
 
     /** Applies a list before the module sees it, so that every host it may name is known here. */
-    void update(Api.ListMode mode, List<Catalog.Member> members) {
+    @Override
+    public void update(Api.ListMode mode, List<Catalog.Member> members) {
         if (mode == Api.ListMode.FAILED) {
             return;
         }
@@ -106,14 +102,16 @@
     }
 
     /** Operators hold these hosts out of use, all of them and no others. */
-    void hold(Set<Long> servers) {
+    @Override
+    public void hold(Set<Long> servers) {
         held = servers;
         long now = Clock.now();
         hosts.forEach((id, host) -> allow(host, host.listedReady && !held.contains(id), now));
     }
 
     /** Whether the list names the host. */
-    boolean lists(long server) {
+    @Override
+    public boolean lists(long server) {
         Host host = hosts.get(server);
         return host != null && !host.gone;
     }
@@ -132,7 +130,8 @@
     }
 
     /** Sends an attempt on the warmest connection, or on a new one where none is free. */
-    void send(Attempt attempt, long server) {
+    @Override
+    public void send(Attempt attempt, long server) {
         Host host = hosts.get(server);
         if (host == null || Clock.now() >= host.sendUntil) {
             listener.onAnswer(attempt, Reason.MOOT, null, null);
@@ -157,7 +156,8 @@
     }
 
     /** From now on so many connections are held at most; idle ones make room. */
-    void limit(int most) {
+    @Override
+    public void limit(int most) {
         mostLinks = most;
         while (links > mostLinks && evict()) {
             // One goes at a time.
@@ -165,8 +165,9 @@
     }
 
     /** Ends the wait for an attempt. One that was written costs its connection, as its answer may still come. */
-    void abandon(Attempt attempt) {
-        Link link = attempt.link;
+    @Override
+    public void abandon(Attempt attempt) {
+        Link link = (Link) attempt.carrier;
         if (link != null) {
             link.release();
             if (link.sent != null) {
@@ -175,7 +176,8 @@
         }
     }
 
-    void closeIdle(long server) {
+    @Override
+    public void closeIdle(long server) {
         Host host = hosts.get(server);
         if (host != null) {
             closeIdle(host);
@@ -198,7 +200,8 @@
     }
 
     /** Retires connections well before their hosts would, and forgets hosts that are gone. */
-    void sweep() {
+    @Override
+    public void sweep() {
         long oldest = Clock.now() - (long) (site.get().idleTime * IDLE_PART);
         for (Link link : List.copyOf(idle)) {
             if (link.idleSince > oldest) {
@@ -209,18 +212,20 @@
         hosts.values().removeIf(host -> host.gone && host.links == 0);
     }
 
-    int links() {
+    @Override
+    public int links() {
         return links;
     }
 
-    void gauges(Map<String, Object> into) {
+    @Override
+    public void gauges(Map<String, Object> into) {
         into.put("hosts", hosts.size());
         into.put("links", links);
         into.put("idle", idle.size());
     }
 
     /** One connection, its states in order: coming up, then idle or carrying an attempt, then closed. */
-    final class Link extends SimpleChannelInboundHandler<Object> implements ValueStream.Source {
+    private final class Link extends SimpleChannelInboundHandler<Object> implements ValueStream.Source, Carrier {
         private final Host host;
         private final MetaDecoder decoder = MetaDecoder.ofAnswers(budget);
         private Channel channel;
@@ -261,15 +266,16 @@
 
         private void carry(Attempt next) {
             attempt = next;
-            next.link = this;
+            next.carrier = this;
         }
 
         private void release() {
-            attempt.link = null;
+            attempt.carrier = null;
             attempt = null;
         }
 
-        boolean written() {
+        @Override
+        public boolean written() {
             return sent != null && sent.isSuccess();
         }
 
@@ -292,7 +298,7 @@
                 return;
             }
             long leftMs = Math.max(1, (attempt.cutAt - now) / Clock.MILLISECOND);
-            ByteBuf bytes = attempt.exchange.command.encode(channel.alloc(), leftMs);
+            ByteBuf bytes = attempt.exchange.ask.encode(channel.alloc(), leftMs);
             sent = channel.writeAndFlush(bytes);
         }
 
@@ -342,7 +348,7 @@
                 retire();
                 return;
             }
-            Reason reason = judge(attempt.exchange.command, answer);
+            Reason reason = judge(attempt.exchange.ask, answer);
             boolean garbage = reason == null;
             if (garbage) {
                 counters.noise("a cache host broke the protocol: "
@@ -370,7 +376,7 @@
         }
 
         /** What an answer means; null for what the protocol does not allow. */
-        private static Reason judge(Command command, MetaFrame answer) {
+        private static Reason judge(Ask ask, MetaFrame answer) {
             if (answer.fault() != null) {
                 return null;
             }
@@ -378,9 +384,9 @@
                 return answer.is(1, "busy") ? Reason.REJECTED : answer.is(1, "failed") ? Reason.ERROR : null;
             }
             int flags = answer.is(0, "VA") ? 2 : 1;
-            boolean kind = command.write ? answer.is(0, "HD") && answer.flag(flags, 'c') != null
+            boolean kind = ask.write() ? answer.is(0, "HD") && answer.flag(flags, 'c') != null
                     : answer.is(0, "VA");
-            return kind && command.opaque.equals(answer.flag(flags, 'O')) ? Reason.OK : null;
+            return kind && ask.id().equals(answer.flag(flags, 'O')) ? Reason.OK : null;
         }
 
         private void finish(Reason reason, MetaFrame answer, boolean close) {
--- a/node/src/main/java/frostrelay/node/MetaFrame.java
+++ b/node/src/main/java/frostrelay/node/MetaFrame.java
@@ -8,7 +8,7 @@
  * line broke the protocol and {@code fault} is what its sender should be told. Behind a {@code last} frame
  * nobody knows where the next line begins: nothing that follows may be read as one.
  */
-record MetaFrame(List<String> words, byte[] data, String fault, boolean last, boolean streamed) {
+record MetaFrame(List<String> words, byte[] data, String fault, boolean last, boolean streamed) implements Reply {
     /** Values may hold so many bytes. */
     static final int MOST_VALUE = 4 * 1024 * 1024;
     /** Those up to here are gathered before they are passed on. */
@@ -28,6 +28,21 @@
         return new MetaFrame(words, null, null, false, true);
     }
 
+    @Override
+    public long length() {
+        return Long.parseLong(words.get(1));
+    }
+
+    @Override
+    public String receipt() {
+        return flag(1, 'c');
+    }
+
+    @Override
+    public String report() {
+        return flag(1, 'L');
+    }
+
     boolean is(int at, String word) {
         return at < words.size() && words.get(at).equals(word);
     }
--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -79,7 +79,8 @@
         holds = shared.holds();
         clients = Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
         links = Math.max(1, all - reserve() - clients - surplus);
-        balancer = new Balancer(config, loop, counters, module, budget, mostLinks(shared), shared);
+        balancer = new Balancer(config, loop, counters, module,
+                (site, listener) -> new HostPool(site, loop, counters, mostLinks(shared), listener), budget, shared);
         server = new ClientServer(balancer, loop, counters, budget, mostClients(shared), surplus);
     }
 
--- a/rig/src/main/java/frostrelay/rig/bench/Bench.java
+++ b/rig/src/main/java/frostrelay/rig/bench/Bench.java
@@ -38,6 +38,11 @@
     private static final int VALUE = 400;
     private static final long SECOND_MS = 1_000;
 
+    static {
+        // A selector that never sleeps looks broken to Netty, which would build it anew each time.
+        System.setProperty("io.netty.selectorAutoRebuildThreshold", "0");
+    }
+
     /** Over one way. {@code cpuMicros}: of what stands between, a request; 0 for nothing. */
     public record Figures(String way, double rate, double cpuMicros, double p50Micros, double p99Micros, long bad) {
         /** For machines. */
