--- a/cli/src/main/java/frostrelay/cli/CheckCommand.java
+++ b/cli/src/main/java/frostrelay/cli/CheckCommand.java
@@ -2,9 +2,8 @@
 
 import frostrelay.config.BadConfigException;
 import frostrelay.config.Problem;
-import frostrelay.config.Table;
 import frostrelay.config.TomlFile;
-import frostrelay.config.Values;
+import frostrelay.lab.PlantFile;
 import frostrelay.rig.day.DayFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,7 +20,7 @@
 /** Says what is wrong with configuration files, without starting anything. */
 @Command(name = "check", mixinStandardHelpOptions = true, description = {
     "Checks files and says everything that is wrong with them: a balancer's own settings (frostrelay.toml), a day for"
-    + " the fleet (a file with [[class]] tables), or the platform's JSON.",
+    + " the fleet (a file with [[class]] tables), a plant for the lab (with a [plant] table), or the platform's JSON.",
     "Exits with 1 if any file is refused."})
 final class CheckCommand implements Callable<Integer> {
     @Mixin
@@ -73,19 +72,21 @@
         if (name.endsWith(".json")) {
             return Platform.check(file);
         }
-        Table form = isDay(file) ? DayFile.form() : OwnSettings.form();
-        Values values = TomlFile.read(file, form);
-        if (isDay(file)) {
+        if (has(file, "[plant]")) {
+            PlantFile.read(file);
+            return TomlFile.read(file, PlantFile.form()).write();
+        }
+        if (has(file, "[[class]]")) {
             DayFile.read(file);
-        } else {
-            OwnSettings.read(file);
+            return TomlFile.read(file, DayFile.form()).write();
         }
-        return values.write();
+        OwnSettings.read(file);
+        return TomlFile.read(file, OwnSettings.form()).write();
     }
 
-    private static boolean isDay(Path file) {
+    private static boolean has(Path file, String head) {
         try {
-            return Files.readString(file).lines().anyMatch(line -> line.strip().startsWith("[[class]]"));
+            return Files.readString(file).lines().anyMatch(line -> line.strip().startsWith(head));
         } catch (java.io.IOException e) {
             return false;
         }
--- a/cli/src/test/java/frostrelay/BordersTest.java
+++ b/cli/src/test/java/frostrelay/BordersTest.java
@@ -50,6 +50,17 @@
                 resideInAnyPackage("io.netty..", "java.net..", "java.io..", "java.nio..")).check(ALL);
     }
 
+    /** Days are the same each time: no clock of the machine, and nothing of the outside, gets into them. */
+    @Test
+    void theEmulatorLivesInItsOwnTime() {
+        noClasses().that().resideInAPackage("frostrelay.emulator..").and()
+                .doNotHaveFullyQualifiedName("frostrelay.emulator.Emulation")
+                .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .check(ALL);
+        noClasses().that().resideInAPackage("frostrelay.emulator..").should().dependOnClassesThat().resideInAnyPackage(
+                "io.netty..", "java.net..", "java.nio..", "frostrelay.node..", "frostrelay.rig..").check(ALL);
+    }
+
     /** So that a second front and a second back can join. */
     @Test
     void aRequestsLifeNamesNoProtocol() {
--- a/config/src/main/java/frostrelay/config/TomlFile.java
+++ b/config/src/main/java/frostrelay/config/TomlFile.java
@@ -75,6 +75,10 @@
             // Some slips, as a bad escape in a key, are thrown instead of listed.
             noToml(e);
             return null;
+        } catch (RuntimeException | AssertionError e) {
+            // A quote that ends within an escape makes the parser itself fail; it does not say where.
+            problems.add(new Problem(file, 0, "", "no TOML", "text that can be parsed, as no escape cut short"));
+            return null;
         }
     }
 
--- /dev/null
+++ b/emulator/src/main/java/frostrelay/emulator/SimBalancer.java
@@ -0,0 +1,352 @@
+package frostrelay.emulator;
+
+import frostrelay.policy.Api;
+import frostrelay.policy.Api.Reason;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One balancer: the real decision module with a ledger of open requests round it, as the real balancer has one. Its one
+ * core takes a while for each event; what comes meanwhile waits.
+ */
+final class SimBalancer implements Api.Actions, SimDiscovery.Subscriber {
+    /** Makes the decision module. */
+    interface Module {
+        Api.Events create(Api.Settings settings, long seed, Api.Actions actions);
+    }
+
+    /** A request as a client made it; hears its one final answer. */
+    interface Caller {
+        Api.Request request(long id, long deadline);
+
+        long waits();
+
+        int key();
+
+        /** Nanoseconds of a cache's core. */
+        double work();
+
+        boolean write();
+
+        /** It took effect at a cache. */
+        void ran(long now);
+
+        /** {@code comeAgain}: nanoseconds to wait, for a refusal. */
+        void answered(long now, Answer answer, long comeAgain);
+    }
+
+    /** A final answer; LOST where the balancer died with it. */
+    enum Answer { SERVED, REFUSED, FAILED, LOST }
+
+    private static final long MILLISECOND = 1_000_000L;
+    private static final long WAYS = 6 * MILLISECOND;
+    private static final float[] NO_REPORT = {};
+
+    private static final class Exchange {
+        final long id;
+        final Caller caller;
+        final long deadline;
+        final List<Attempt> attempts = new ArrayList<>(2);
+        int pending;
+        boolean over;
+
+        Exchange(long id, Caller caller, long deadline) {
+            this.id = id;
+            this.caller = caller;
+            this.deadline = deadline;
+        }
+    }
+
+    private final class Attempt implements SimCache.Job {
+        final Exchange exchange;
+        final int number;
+        final long sentAt;
+        final int mine = life;
+        boolean over;
+
+        Attempt(Exchange exchange, int number, long sentAt) {
+            this.exchange = exchange;
+            this.number = number;
+            this.sentAt = sentAt;
+        }
+
+        @Override
+        public int key() {
+            return exchange.caller.key();
+        }
+
+        @Override
+        public double work() {
+            return exchange.caller.work();
+        }
+
+        @Override
+        public boolean write() {
+            return exchange.caller.write();
+        }
+
+        @Override
+        public boolean dropped() {
+            return over || mine != life;
+        }
+
+        @Override
+        public void ran(long now) {
+            exchange.caller.ran(now);
+        }
+
+        @Override
+        public void ended(long now, SimCache.End end) {
+            Reason reason = switch (end) {
+                case SERVED -> Reason.OK;
+                case FAILED -> Reason.ERROR;
+                case BUSY -> Reason.REJECTED;
+                case REFUSED -> Reason.CONNECT_FAILED;
+                case RESET -> Reason.RESET;
+            };
+            timeline.at(now + wire.delay(), then -> busy(then, at -> SimBalancer.this.ended(at, this, reason)));
+        }
+    }
+
+    private final Plant.Balancer spec;
+    private final Timeline timeline;
+    private final Wire wire;
+    private final SimDiscovery discovery;
+    private final List<SimCache> caches;
+    private final Map<Long, Integer> places;
+    private final Module module;
+    private final Api.Settings settings;
+    private final long seed;
+    private final Map<Long, Exchange> exchanges = new HashMap<>();
+    private Api.Events router;
+    private int life;
+    private boolean down;
+    private long freeAt;
+    private long lastId;
+    private long now;
+    private long sends;
+    private long copies;
+    private long lastCalls;
+
+    SimBalancer(Plant.Balancer spec, Timeline timeline, Wire wire, SimDiscovery discovery, List<SimCache> caches,
+                Map<Long, Integer> places, Module module, Api.Settings settings, long seed) {
+        this.spec = spec;
+        this.timeline = timeline;
+        this.wire = wire;
+        this.discovery = discovery;
+        this.caches = caches;
+        this.places = places;
+        this.module = module;
+        this.settings = settings;
+        this.seed = seed;
+        start(0);
+    }
+
+    /** Begins anew, knowing the list as it was last. */
+    void start(long at) {
+        down = false;
+        now = at;
+        router = module.create(settings, seed + life, this);
+        router.onList(at, Api.ListMode.CACHED, discovery.list());
+    }
+
+    /** Dies with everything it holds. */
+    void kill(long at) {
+        down = true;
+        life++;
+        discovery.forget(this);
+        List<Exchange> lost = List.copyOf(exchanges.values());
+        exchanges.clear();
+        lost.stream().filter(exchange -> !exchange.over)
+                .forEach(exchange -> exchange.caller.answered(at, Answer.LOST, 0));
+    }
+
+    boolean isDown() {
+        return down;
+    }
+
+    /** Runs an action once the core is free for it. */
+    private void busy(long at, Event action) {
+        if (spec.cost() == 0) {
+            now = at;
+            action.happen(at);
+            return;
+        }
+        freeAt = Math.max(at, freeAt) + spec.cost();
+        int mine = life;
+        timeline.at(freeAt, then -> {
+            if (mine == life) {
+                now = then;
+                action.happen(then);
+            }
+        });
+    }
+
+    /** A request arrives; returns under which number it can be taken back. */
+    long take(long at, Caller caller) {
+        long id = ++lastId;
+        if (down) {
+            caller.answered(at, Answer.LOST, 0);
+            return id;
+        }
+        Exchange exchange = new Exchange(id, caller, at + caller.waits() - WAYS);
+        exchanges.put(id, exchange);
+        int mine = life;
+        timeline.at(exchange.deadline + MILLISECOND, then -> {
+            if (mine == life && !exchange.over) {
+                // The module has left it open past its deadline: one answer is owed all the same.
+                lastCalls++;
+                now = then;
+                finish(exchange, Answer.FAILED, 0);
+                router.onClientGone(then, id);
+            }
+        });
+        busy(at, then -> {
+            // Its client may have left while it waited for the core.
+            if (!exchange.over) {
+                router.onRequest(then, caller.request(id, exchange.deadline));
+            }
+        });
+        return id;
+    }
+
+    /** Its client waits no longer. */
+    void gone(long at, long id) {
+        Exchange exchange = exchanges.get(id);
+        if (exchange != null && !exchange.over) {
+            exchange.over = true;
+            now = at;
+            router.onClientGone(at, id);
+            forget(exchange);
+        }
+    }
+
+    private void finish(Exchange exchange, Answer answer, long comeAgain) {
+        exchange.over = true;
+        Caller caller = exchange.caller;
+        timeline.at(now + wire.delay(), then -> caller.answered(then, answer, comeAgain));
+        forget(exchange);
+    }
+
+    private void forget(Exchange exchange) {
+        if (exchange.over && exchange.pending == 0) {
+            exchanges.remove(exchange.id);
+        }
+    }
+
+    private void ended(long at, Attempt attempt, Reason reason) {
+        if (attempt.over || attempt.mine != life) {
+            return;
+        }
+        attempt.over = true;
+        Exchange exchange = attempt.exchange;
+        exchange.pending--;
+        now = at;
+        if (reason == Reason.OK && !exchange.over) {
+            finish(exchange, Answer.SERVED, 0);
+        }
+        router.onOutcome(at, new Api.Outcome(exchange.id, attempt.number, reason, at - attempt.sentAt, exchange.over,
+                NO_REPORT));
+        forget(exchange);
+    }
+
+    @Override
+    public void onList(long at, Api.ListMode mode, List<Api.Server> servers) {
+        if (!down) {
+            now = at;
+            router.onList(at, mode, servers);
+        }
+    }
+
+    // What the module asks for. Outcomes that come at once are events of their own: the module is not reentrant.
+
+    @Override
+    public void send(long request, long server, long cutAt) {
+        Exchange exchange = exchanges.get(request);
+        if (exchange == null) {
+            return;
+        }
+        Attempt attempt = new Attempt(exchange, exchange.attempts.size(), now);
+        exchange.attempts.add(attempt);
+        exchange.pending++;
+        if (exchange.over || exchange.attempts.size() > spec.maxAttempts()) {
+            timeline.at(now, then -> ended(then, attempt, Reason.MOOT));
+            return;
+        }
+        sends++;
+        copies += exchange.attempts.size() > 1 ? 1 : 0;
+        long cut = cutAt <= 0 ? exchange.deadline : Math.min(cutAt, exchange.deadline);
+        timeline.at(cut, then -> ended(then, attempt, Reason.TIMEOUT));
+        if (!wire.loses()) {
+            SimCache cache = caches.get(places.get(server));
+            timeline.at(now + wire.delay(), then -> cache.accept(then, attempt));
+        }
+    }
+
+    @Override
+    public void cancel(long request, int attempt) {
+        Exchange exchange = exchanges.get(request);
+        if (exchange != null && attempt < exchange.attempts.size()) {
+            Attempt cancelled = exchange.attempts.get(attempt);
+            timeline.at(now, then -> ended(then, cancelled, Reason.CANCELLED));
+        }
+    }
+
+    @Override
+    public void refuse(long request, long retryAfter) {
+        Exchange exchange = exchanges.get(request);
+        if (exchange != null && !exchange.over) {
+            finish(exchange, Answer.REFUSED, Math.min(retryAfter, settings.maxRetryAfter()));
+        }
+    }
+
+    @Override
+    public void fail(long request) {
+        Exchange exchange = exchanges.get(request);
+        if (exchange != null && !exchange.over) {
+            finish(exchange, Answer.FAILED, 0);
+        }
+    }
+
+    @Override
+    public void wakeAt(long moment, int token) {
+        int mine = life;
+        timeline.at(moment, then -> {
+            if (mine == life) {
+                now = then;
+                router.onTimer(then, token);
+            }
+        });
+    }
+
+    @Override
+    public void closeIdle(long server) {
+        // Connections are not part of the model.
+    }
+
+    @Override
+    public void subscribe() {
+        discovery.subscribe(now, this);
+    }
+
+    long sends() {
+        return sends;
+    }
+
+    /** Sends beyond the first of a request. */
+    long copies() {
+        return copies;
+    }
+
+    /** Requests that the module left open past their deadline. */
+    long lastCalls() {
+        return lastCalls;
+    }
+
+    /** Requests that are open or whose attempts are. */
+    int open() {
+        return exchanges.size();
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/frostrelay/emulator/SimCache.java
@@ -0,0 +1,204 @@
+package frostrelay.emulator;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A cache: cores that serve in the order of arrival, a bounded queue, memory, misses to the origin, a cold start. */
+final class SimCache {
+    /** How work at a cache ends. */
+    enum End { SERVED, FAILED, BUSY, REFUSED, RESET }
+
+    /** Work for a cache. */
+    interface Job {
+        int key();
+
+        /** Nanoseconds of a core at full speed. */
+        double work();
+
+        boolean write();
+
+        /** Whether nobody waits any more: waiting work is dropped then. */
+        boolean dropped();
+
+        void ended(long now, End end);
+
+        /** It took effect. */
+        void ran(long now);
+    }
+
+    private final Plant.Cache spec;
+    private final Timeline timeline;
+    private final SimOrigin origin;
+    /** How often each key was written, over all caches. */
+    private final int[] versions;
+    private final Memory memory;
+    private final Deque<Job> waiting = new ArrayDeque<>();
+    private final Map<Integer, List<Job>> fetching = new HashMap<>();
+    /** All that has come and not ended, in the order in which it came. */
+    private final Set<Job> open = new LinkedHashSet<>();
+    private int busy;
+    private boolean down;
+    private double slow = 1;
+    private long startedAt = Long.MIN_VALUE / 2;
+    /** Counts lives: what belongs to a former one ends in nothing. */
+    private int life;
+    private long hits;
+    private long misses;
+    private long turnedAway;
+
+    SimCache(Plant.Cache spec, Timeline timeline, SimOrigin origin, int[] versions) {
+        this.spec = spec;
+        this.timeline = timeline;
+        this.origin = origin;
+        this.versions = versions;
+        this.memory = new Memory(spec.memory());
+    }
+
+    /** Holds a key from the start. */
+    void fill(int key) {
+        memory.keep(key, 0);
+    }
+
+    void accept(long now, Job job) {
+        if (down) {
+            job.ended(now, End.REFUSED);
+            return;
+        }
+        open.add(job);
+        if (busy < spec.cores()) {
+            begin(now, job);
+        } else if (waiting.size() < spec.queue()) {
+            waiting.add(job);
+        } else {
+            turnedAway++;
+            end(now, job, End.BUSY);
+        }
+    }
+
+    private void end(long now, Job job, End end) {
+        if (open.remove(job)) {
+            job.ended(now, end);
+        }
+    }
+
+    private double speed(long now) {
+        long age = now - startedAt;
+        double warm = age >= spec.warmWithin() ? 1 : spec.coldFrom() + (1 - spec.coldFrom()) * age / spec.warmWithin();
+        return warm / slow;
+    }
+
+    private void begin(long now, Job job) {
+        busy++;
+        int mine = life;
+        timeline.at(now + (long) (job.work() / speed(now)), then -> {
+            if (mine != life) {
+                return;
+            }
+            busy--;
+            worked(then, job);
+            while (busy < spec.cores() && !waiting.isEmpty()) {
+                Job next = waiting.poll();
+                if (next.dropped()) {
+                    open.remove(next);
+                } else {
+                    begin(then, next);
+                }
+            }
+        });
+    }
+
+    private void worked(long now, Job job) {
+        if (job.write()) {
+            job.ran(now);
+            versions[job.key()]++;
+            call(now, good -> { }, List.of(job));
+            return;
+        }
+        if (memory.has(job.key(), versions[job.key()])) {
+            hits++;
+            end(now, job, End.SERVED);
+            return;
+        }
+        misses++;
+        List<Job> others = spec.coalesce() ? fetching.get(job.key()) : null;
+        if (others != null) {
+            others.add(job);
+            return;
+        }
+        List<Job> all = new ArrayList<>(1);
+        all.add(job);
+        if (spec.coalesce()) {
+            fetching.put(job.key(), all);
+        }
+        int version = versions[job.key()];
+        call(now, good -> {
+            fetching.remove(job.key());
+            if (good) {
+                memory.keep(job.key(), version);
+            }
+        }, all);
+    }
+
+    private interface Fetched {
+        void fetched(boolean good);
+    }
+
+    private void call(long now, Fetched then, List<Job> jobs) {
+        int mine = life;
+        origin.call(now, (at, good) -> {
+            if (mine == life) {
+                then.fetched(good);
+                jobs.forEach(job -> end(at, job, good ? End.SERVED : End.FAILED));
+            }
+        });
+    }
+
+    /** The process dies with all it holds. */
+    void kill(long now) {
+        down = true;
+        life++;
+        busy = 0;
+        memory.clear();
+        fetching.clear();
+        waiting.clear();
+        List.copyOf(open).forEach(job -> end(now, job, End.RESET));
+    }
+
+    /** It starts empty and cold. */
+    void start(long now) {
+        down = false;
+        startedAt = now;
+    }
+
+    /** Work takes so many times as long from now on. */
+    void slow(double factor) {
+        slow = factor;
+    }
+
+    /** All that is kept goes void, as a release of new templates does. */
+    void release() {
+        memory.clear();
+    }
+
+    boolean isDown() {
+        return down;
+    }
+
+    long hits() {
+        return hits;
+    }
+
+    long misses() {
+        return misses;
+    }
+
+    long turnedAway() {
+        return turnedAway;
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/frostrelay/emulator/SimClients.java
@@ -0,0 +1,208 @@
+package frostrelay.emulator;
+
+import frostrelay.policy.Api;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import org.apache.commons.rng.sampling.distribution.SharedStateDiscreteSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+
+/** Clients in an open loop, with patience, retries and back-off, behind a plain front. */
+final class SimClients {
+    private static final double SECOND = 1e9;
+    private static final int MOST_SHIFT = 10;
+    /** With less time left than this no client asks again: the answer could not come. */
+    private static final long LEAST_WAIT = 20_000_000L;
+
+    private final Plant plant;
+    private final Timeline timeline;
+    private final Wire wire;
+    private final List<SimBalancer> balancers;
+    private final Figures figures;
+    private final UniformRandomProvider random;
+    private final ZigguratSampler.Exponential gaps;
+    private final SharedStateDiscreteSampler keys;
+    private double surge = 1;
+    private long open;
+
+    SimClients(Plant plant, Timeline timeline, Wire wire, List<SimBalancer> balancers, Figures figures) {
+        this.plant = plant;
+        this.timeline = timeline;
+        this.wire = wire;
+        this.balancers = balancers;
+        this.figures = figures;
+        random = Randoms.of(plant.seed(), "clients");
+        gaps = ZigguratSampler.Exponential.of(random);
+        keys = RejectionInversionZipfSampler.of(random, plant.clients().keys(), plant.clients().zipf());
+    }
+
+    void start() {
+        next(0);
+    }
+
+    private void next(long now) {
+        long at = now + (long) (gaps.sample() * SECOND / (plant.clients().rate() * surge));
+        if (at < plant.length()) {
+            timeline.at(at, then -> {
+                new First(then).send(then);
+                next(then);
+            });
+        }
+    }
+
+    /** From now on so many times the usual rate. */
+    void surge(double factor) {
+        surge = factor;
+    }
+
+    /** First tries that have not ended. */
+    long open() {
+        return open;
+    }
+
+    private SimBalancer front() {
+        int place = random.nextInt(balancers.size());
+        for (int i = 0; i < balancers.size(); i++) {
+            SimBalancer balancer = balancers.get((place + i) % balancers.size());
+            if (!balancer.isDown()) {
+                return balancer;
+            }
+        }
+        return balancers.get(place);
+    }
+
+    private int loadClass(double draw) {
+        double rest = draw;
+        for (int i = 0; i < plant.classes().size(); i++) {
+            rest -= plant.classes().get(i).share();
+            if (rest < 0) {
+                return i;
+            }
+        }
+        return plant.classes().size() - 1;
+    }
+
+    /** A first try with all that follows from it. */
+    private final class First {
+        private final long at;
+        private final int number;
+        private final Plant.Load load;
+        private final int key;
+        private final double work;
+        private int tries;
+        private int runs;
+
+        First(long at) {
+            this.at = at;
+            number = loadClass(random.nextDouble());
+            load = plant.classes().get(number);
+            key = keys.sample() - 1;
+            work = load.work() * (load.spread() == Plant.Spread.FIXED ? 1 : gaps.sample());
+            open++;
+            figures.asked(at, load.worth());
+        }
+
+        void send(long now) {
+            tries++;
+            figures.tried();
+            Try fresh = new Try(this, now);
+            timeline.at(now + wire.delay(), then -> fresh.arrive(then));
+        }
+
+        void ended(long now, SimBalancer.Answer answer, long comeAgain) {
+            if (answer == SimBalancer.Answer.SERVED) {
+                open--;
+                figures.served(at, now - at, now - at <= load.aim(), load.worth());
+                return;
+            }
+            // What may have run is made again only where a repeat does no harm or is dropped by its key.
+            boolean may = answer == SimBalancer.Answer.REFUSED || load.effect() != Api.Effect.FRAGILE;
+            long backoff = (long) ((plant.clients().backoff() << Math.min(tries - 1, MOST_SHIFT))
+                    * (0.5 + random.nextDouble()));
+            long wait = plant.clients().comeAgain() ? Math.max(comeAgain, backoff) : backoff;
+            if (may && tries <= plant.clients().retries() && now + wait + LEAST_WAIT < at + load.deadline()) {
+                timeline.at(now + wait, this::send);
+            } else {
+                open--;
+                figures.ended(answer == SimBalancer.Answer.REFUSED);
+            }
+        }
+
+        void ran() {
+            if (load.effect() == Api.Effect.FRAGILE && ++runs > 1) {
+                figures.noteRanTwice();
+            }
+        }
+    }
+
+    private final class Try implements SimBalancer.Caller {
+        private final First first;
+        private final long waits;
+        private SimBalancer balancer;
+        private long id;
+        private boolean over;
+
+        Try(First first, long now) {
+            this.first = first;
+            long whole = (long) (first.load.deadline() * plant.clients().patience());
+            waits = Math.min(whole, first.at + first.load.deadline() - now);
+            timeline.at(now + waits, this::late);
+        }
+
+        void arrive(long now) {
+            if (!over) {
+                balancer = front();
+                id = balancer.take(now, this);
+            }
+        }
+
+        private void late(long now) {
+            if (!over) {
+                over = true;
+                if (balancer != null) {
+                    timeline.at(now + wire.delay(), then -> balancer.gone(then, id));
+                }
+                first.ended(now, SimBalancer.Answer.FAILED, 0);
+            }
+        }
+
+        @Override
+        public Api.Request request(long number, long deadline) {
+            return new Api.Request(number, first.number, 0, Long.reverse(first.key + 1L), deadline,
+                    (long) first.work, first.tries > 1, write());
+        }
+
+        @Override
+        public long waits() {
+            return waits;
+        }
+
+        @Override
+        public int key() {
+            return first.key;
+        }
+
+        @Override
+        public double work() {
+            return first.work;
+        }
+
+        @Override
+        public boolean write() {
+            return first.load.effect() != Api.Effect.RETRYABLE;
+        }
+
+        @Override
+        public void ran(long now) {
+            first.ran();
+        }
+
+        @Override
+        public void answered(long now, SimBalancer.Answer answer, long comeAgain) {
+            if (!over) {
+                over = true;
+                first.ended(now, answer, comeAgain);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/frostrelay/lab/PlantFile.java
@@ -0,0 +1,141 @@
+package frostrelay.lab;
+
+import frostrelay.config.BadConfigException;
+import frostrelay.config.Problem;
+import frostrelay.config.Table;
+import frostrelay.config.TomlFile;
+import frostrelay.config.Values;
+import frostrelay.emulator.Plant;
+import frostrelay.policy.Api;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+/** The form of a plant in TOML, and what must hold beyond the form. */
+public final class PlantFile {
+    private static final List<String> EFFECTS = List.of("repeatable", "keyed", "never-twice");
+    private static final double SHARES_APART = 0.01;
+
+    private PlantFile() {
+    }
+
+    private static List<String> kinds() {
+        return Arrays.stream(Plant.Kind.values()).map(kind -> kind.name().toLowerCase(Locale.ROOT).replace('_', '-'))
+                .toList();
+    }
+
+    /** The form, for checks and for the page that describes it. */
+    public static Table form() {
+        return new Table("A plant.")
+                .whole("seed", 1L, 0, Long.MAX_VALUE / 2, "The first seed; each repetition takes the next.")
+                .duration("length", "60s", "1s", "24h", "Simulated time in which requests come.")
+                .table("plant", new Table("The machines.")
+                        .whole("balancers", 3L, 1, 10_000, "Balancers.")
+                        .whole("caches", 12L, 1, 100_000, "Caches.")
+                        .duration("discovery-lateness", "1s", "0ms", "10m", "From a change to its being told.")
+                        .duration("balancer-cost", "50us", "0ms", "1s", "CPU of a balancer for each event.")
+                        .whole("max-attempts", 4L, 1, 16, "Sends of a request at the most.")
+                        .bool("hedges", true, "Whether a second copy may run beside the first."))
+                .table("cache", new Table("Each cache.")
+                        .whole("cores", 1L, 1, 1_024, "Requests in work at once.")
+                        .whole("queue", 64L, 0, 1_000_000, "Requests that wait; more are turned away.")
+                        .whole("memory", 400L, 1, 100_000_000, "Objects kept; those used longest ago go first.")
+                        .number("cold-from", 0.15, 0.01, 1, "Speed at a start, as a part of the full.")
+                        .duration("warm-within", "20s", "0ms", "1h", "From a start to full speed.")
+                        .bool("coalesce", false, "Whether misses of one key share a fetch.")
+                        .bool("filled", true, "Whether it holds the most popular keys at the start."))
+                .table("origin", new Table("The origin behind all caches.")
+                        .whole("places", 12L, 1, 1_000_000, "Fetches in work at once.")
+                        .duration("time", "60ms", "1us", "60s", "Mean time of a fetch.")
+                        .whole("queue", 100L, 0, 10_000_000, "Fetches that wait; more are refused.")
+                        .number("fall-multiple", 3.0, 0, 1_000,
+                                "Sent this many times what it can do in a second, it stops; 0 for never.")
+                        .duration("fall-time", "3s", "0ms", "10m", "How long it stops for."))
+                .table("network", new Table("Each message.")
+                        .duration("delay", "1ms", "0ms", "10s", "One way.")
+                        .duration("jitter", "1ms", "0ms", "10s", "Up to so much more.")
+                        .number("loss", 0.0, 0, 1, "Part of the sends to caches that never come."))
+                .table("clients", new Table("What clients do.")
+                        .rate("rate", "300/s", "0.1/s", "10000000/s", "First tries.")
+                        .whole("keys", 2_000L, 1, 10_000_000, "Different keys.")
+                        .number("zipf", 0.95, 0.01, 5, "How uneven their popularity is.")
+                        .whole("retries", 2L, 0, 100, "Tries after the first.")
+                        .duration("backoff", "200ms", "0ms", "60s", "Mean wait before a further try, doubled each time.")
+                        .number("patience", 0.7, 0.05, 1, "A try is given up after so much of the deadline.")
+                        .bool("come-again", true, "Whether they wait as long as a refusal says."))
+                .list("class", 64, new Table("A class of requests; shares add up to 1.")
+                        .number("share", null, 0, 1, "Its part of all.")
+                        .duration("work", "15ms", "1us", "60s", "Mean work of a cache's core.")
+                        .choice("spread", "exponential", List.of("exponential", "fixed"), "How work varies.")
+                        .duration("aim", "300ms", "1ms", "1h", "An answer by then is in time.")
+                        .duration("deadline", "1500ms", "1ms", "1h", "The client waits no longer, over all its tries.")
+                        .number("worth", 1.0, 0, 1_000_000, "Of one answer in time.")
+                        .choice("effect", "repeatable", EFFECTS, "Whether it may run again."))
+                .list("fault", 1_000, new Table("Something that happens.")
+                        .duration("at", null, "0ms", "24h", "From the start.")
+                        .choice("kind", null, kinds(), "What happens.")
+                        .duration("for", "0ms", "0ms", "24h", "After this it is undone; 0ms for never.")
+                        .number("part", 1.0, 0, 1, "Of the machines that it meets.")
+                        .number("factor", 3.0, 0.01, 10_000, "How much, for cache-slow and surge."));
+    }
+
+    /** Reads a plant; throws {@link BadConfigException} with all that is wrong. */
+    public static Plant read(Path path) {
+        return bind(path.toString(), TomlFile.read(path, form()));
+    }
+
+    /** Likewise from a text; {@code file} is how problems name it. */
+    public static Plant parse(String file, String text) {
+        return bind(file, TomlFile.parse(file, text, form()));
+    }
+
+    private static Plant bind(String file, Values values) {
+        List<Problem> problems = new ArrayList<>();
+        List<Plant.Load> classes = new ArrayList<>();
+        double sum = 0;
+        for (Values one : values.list("class")) {
+            sum += one.number("share");
+            if (one.whole("aim") > one.whole("deadline")) {
+                problems.add(new Problem(file, one.line(), "class.aim", "an aim past the deadline",
+                        "at most the deadline"));
+            }
+            Api.Effect effect = Api.Effect.values()[EFFECTS.indexOf(one.text("effect"))];
+            classes.add(new Plant.Load(one.number("share"), one.whole("work"),
+                    Plant.Spread.valueOf(one.text("spread").toUpperCase(Locale.ROOT)), one.whole("aim"),
+                    one.whole("deadline"), one.number("worth"), effect));
+        }
+        if (classes.isEmpty() || Math.abs(sum - 1) > SHARES_APART) {
+            problems.add(new Problem(file, 0, "class.share", "shares that add up to " + sum, "a sum of 1"));
+        }
+        List<Plant.Fault> faults = new ArrayList<>();
+        for (Values one : values.list("fault")) {
+            if (one.whole("at") > values.whole("length")) {
+                problems.add(new Problem(file, one.line(), "fault.at", "a time past the length", "at most the length"));
+            }
+            faults.add(new Plant.Fault(one.whole("at"), one.whole("for"),
+                    Plant.Kind.valueOf(one.text("kind").toUpperCase(Locale.ROOT).replace('-', '_')),
+                    one.number("part"), one.number("factor")));
+        }
+        if (!problems.isEmpty()) {
+            throw new BadConfigException(problems);
+        }
+        Values plant = values.table("plant");
+        Values cache = values.table("cache");
+        Values origin = values.table("origin");
+        Values network = values.table("network");
+        Values clients = values.table("clients");
+        return new Plant(values.whole("seed"), values.whole("length"), (int) plant.whole("balancers"),
+                (int) plant.whole("caches"), new Plant.Cache((int) cache.whole("cores"), (int) cache.whole("queue"),
+                (int) cache.whole("memory"), cache.number("cold-from"), cache.whole("warm-within"),
+                cache.bool("coalesce"), cache.bool("filled")), new Plant.Origin((int) origin.whole("places"),
+                origin.whole("time"), (int) origin.whole("queue"), origin.number("fall-multiple"),
+                origin.whole("fall-time")), new Plant.Network(network.whole("delay"), network.whole("jitter"),
+                network.number("loss")), new Plant.Clients(clients.number("rate"), (int) clients.whole("keys"),
+                clients.number("zipf"), (int) clients.whole("retries"), clients.whole("backoff"),
+                clients.number("patience"), clients.bool("come-again")),
+                new Plant.Balancer(plant.whole("balancer-cost"), (int) plant.whole("max-attempts"),
+                plant.bool("hedges")), plant.whole("discovery-lateness"), classes, faults);
+    }
+}
--- /dev/null
+++ b/emulator/src/test/java/frostrelay/emulator/EmulationTest.java
@@ -0,0 +1,82 @@
+package frostrelay.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import frostrelay.emulator.Plant.Fault;
+import frostrelay.emulator.Plant.Kind;
+import frostrelay.policy.Api;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Whole days with the real decision module. */
+class EmulationTest {
+    private static final long MS = 1_000_000L;
+    private static final long SECOND = 1_000 * MS;
+
+    private static Plant plant(long seed, List<Fault> faults) {
+        return new Plant(seed, 30 * SECOND, 3, 12, new Plant.Cache(1, 64, 400, 0.15, 10 * SECOND, false, true),
+                new Plant.Origin(12, 60 * MS, 100, 3, 3 * SECOND), new Plant.Network(MS, MS, 0),
+                new Plant.Clients(300, 2_000, 0.95, 2, 200 * MS, 0.7, true),
+                new Plant.Balancer(100_000, 4, true), SECOND, List.of(
+                new Plant.Load(0.95, 15 * MS, Plant.Spread.EXPONENTIAL, 300 * MS, 1_500 * MS, 1, Api.Effect.RETRYABLE),
+                new Plant.Load(0.05, 20 * MS, Plant.Spread.FIXED, 600 * MS, 2_500 * MS, 3, Api.Effect.FRAGILE)), faults);
+    }
+
+    private static String told(Emulation.Result result) {
+        Figures figures = result.figures();
+        return String.format(Locale.ROOT, "%d %d %d %d %d %d %.9f %.3f %.3f %d %d %d %d %d", figures.asked(),
+                figures.tries(), figures.inTime(), figures.late(), figures.refused(), figures.failed(),
+                figures.service(), figures.ms(50), figures.ms(99), result.events(), result.sends(), result.copies(),
+                result.hits(), result.fetches());
+    }
+
+    @Test
+    void theSameSeedGivesTheSameDayAloneAndBesideOthers() {
+        List<Fault> faults = List.of(new Fault(10 * SECOND, 3 * SECOND, Kind.CACHE_SLOW, 0.3, 6));
+        String alone = told(Emulation.play(plant(5, faults)));
+        List<String> together = IntStream.range(0, 8).parallel()
+                .mapToObj(i -> told(Emulation.play(plant(5 + i % 2, faults)))).toList();
+        for (int i = 0; i < 8; i++) {
+            assertEquals(i % 2 == 0, alone.equals(together.get(i)), alone + " / " + together.get(i));
+        }
+        assertNotEquals(alone, told(Emulation.play(plant(5, List.of()))));
+    }
+
+    /** Every first try has one end, nothing that must not runs twice, and the module leaves nothing open. */
+    @Test
+    void everyRuleIsKeptThroughEveryFault() {
+        List<Fault> faults = new ArrayList<>();
+        for (Kind kind : Kind.values()) {
+            faults.add(new Fault((2 + 3L * kind.ordinal()) * SECOND, 2 * SECOND, kind, 0.3, 3));
+        }
+        for (long seed = 1; seed <= 6; seed++) {
+            Emulation.Result result = Emulation.play(plant(seed, faults));
+            Figures figures = result.figures();
+            assertEquals(figures.asked(), figures.inTime() + figures.late() + figures.refused() + figures.failed());
+            assertEquals(0, figures.ranTwice(), "seed " + seed);
+            assertEquals(0, result.lastCalls(), "left open");
+            assertTrue(figures.asked() > 8_000 && figures.service() > 0.3 && figures.service() < 1, told(result));
+        }
+    }
+
+    /** A quiet day is served, copies are few, and each fault costs something: the model feels what it plays. */
+    @Test
+    void eachFaultCostsService() {
+        double quiet = Emulation.play(plant(3, List.of())).figures().service();
+        assertTrue(quiet > 0.97, "quiet " + quiet);
+        for (Fault fault : List.of(new Fault(10 * SECOND, 8 * SECOND, Kind.CACHE_KILL, 0.8, 1),
+                new Fault(10 * SECOND, 8 * SECOND, Kind.CACHE_SLOW, 0.6, 20),
+                new Fault(10 * SECOND, 5 * SECOND, Kind.ORIGIN_OUTAGE, 1, 1),
+                new Fault(10 * SECOND, 0, Kind.COPIES_RELEASED, 1, 1),
+                new Fault(10 * SECOND, 5 * SECOND, Kind.SURGE, 1, 4),
+                new Fault(10 * SECOND, 5 * SECOND, Kind.BALANCER_RESTART, 1, 1))) {
+            double hurt = Emulation.play(plant(3, List.of(fault))).figures().service();
+            assertTrue(hurt < quiet - 0.002, fault.kind() + ": " + hurt + ", quiet " + quiet);
+        }
+    }
+}
