--- a/policy/src/main/java/frostrelay/policy/Candidates.java
+++ b/policy/src/main/java/frostrelay/policy/Candidates.java
@@ -40,17 +40,19 @@
         int depth = width + SPARE;
         count = 0;
         double worst = Double.MAX_VALUE;
-        Host[] hosts = health.caches;
+        long[] salts = health.salts;
+        double[] inverses = health.inverses;
+        boolean[] near = health.near;
         for (int i = 0; i < health.cacheCount; i++) {
-            Host host = hosts[i];
-            long hash = mix(key ^ host.salt);
+            long hash = mix(key ^ salts[i]);
             double x = (hash >>> 11) * UNIT;
-            double inverse = host.inOwnZone ? host.inverseWeight / nearness : host.inverseWeight;
+            double inverse = near[i] ? inverses[i] / nearness : inverses[i];
             // x <= -ln(1 - x): most hosts fall out here, without a logarithm.
             if (x * inverse >= worst) {
                 continue;
             }
             double d = -Math.log1p(-x) * inverse;
+            Host host = health.caches[i];
             if (d >= worst || !health.admits(now, host, hash)) {
                 continue;
             }
--- a/policy/src/main/java/frostrelay/policy/HostHealth.java
+++ b/policy/src/main/java/frostrelay/policy/HostHealth.java
@@ -60,6 +60,10 @@
 
     Host[] caches = {};
     int cacheCount;
+    /** What {@link Candidates} scans for each request, side by side: of thousands it touches a few. */
+    long[] salts = {};
+    double[] inverses = {};
+    boolean[] near = {};
     final List<Host> origins = new ArrayList<>();
     private final Map<Long, Host> known = new LinkedHashMap<>();
     /** Hosts that operators hold out of use, and since when; listed or not. */
@@ -156,6 +160,9 @@
     private void rebuild() {
         known.values().removeIf(host -> host.state == State.GONE && host.inFlight == 0);
         caches = new Host[known.size()];
+        salts = new long[known.size()];
+        inverses = new double[known.size()];
+        near = new boolean[known.size()];
         cacheCount = 0;
         totalWeight = 0;
         origins.clear();
@@ -164,6 +171,9 @@
             if (usable && isOrigin(host)) {
                 origins.add(host);
             } else if (usable) {
+                salts[cacheCount] = host.salt;
+                inverses[cacheCount] = host.inverseWeight;
+                near[cacheCount] = host.inOwnZone;
                 caches[cacheCount++] = host;
                 totalWeight += host.weight;
             }
