--- a/cli/src/main/java/frostrelay/cli/LoadCommand.java
+++ b/cli/src/main/java/frostrelay/cli/LoadCommand.java
@@ -72,7 +72,10 @@
             figures.put("p50Ms", tally.ms(50));
             figures.put("p99Ms", tally.ms(99));
             figures.put("classes", tally.byClass());
-            output.result(figures, figures.toString());
+            output.result(figures, String.format(Locale.ROOT, "%,d requests: %d in time, %d late, %d refused, %d failed, %d lost,"
+                    + " %d wrong; p50 %.1f ms, p99 %.1f ms", tally.asked(), tally.count(Tally.End.IN_TIME),
+                    tally.count(Tally.End.LATE), tally.count(Tally.End.REFUSED), tally.count(Tally.End.FAILED),
+                    tally.count(Tally.End.LOST), tally.wrongAnswers(), tally.ms(50), tally.ms(99)));
             return tally.wrongAnswers() == 0 && tally.count(Tally.End.LOST) == 0 ? 0 : 1;
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/node/src/main/java/frostrelay/log/LineEncoder.java
+++ b/node/src/main/java/frostrelay/log/LineEncoder.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.StringWriter;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -110,19 +111,21 @@
             }
             out.writeEndObject();
         } else {
-            out.writeString(cut(String.valueOf(value)));
+            out.writeString(show(value));
         }
     }
 
     private static String text(String time, String level, String name, String balancer, Map<String, Object> fields) {
         List<String> words = new ArrayList<>();
         // No peer may end a line, or begin one that looks like ours.
-        fields.forEach((key, value) -> words.add(key + "=" + cut(String.valueOf(value)).replaceAll("\\p{Cntrl}", "?")));
+        fields.forEach((key, value) -> words.add(key + "=" + show(value).replaceAll("\\p{Cntrl}", "?")));
         return time + ' ' + String.format(Locale.ROOT, "%-5s", level) + ' ' + (balancer == null ? "" : balancer + ' ')
                 + name + (words.isEmpty() ? "" : "  ") + String.join(" ", words) + '\n';
     }
 
-    private static String cut(String text) {
+    private static String show(Object value) {
+        String text = value instanceof InetSocketAddress address ? address.getHostString() + ':' + address.getPort()
+                : String.valueOf(value);
         return text.length() > MOST_TEXT ? text.substring(0, MOST_TEXT) + "..." : text;
     }
 }
--- a/node/src/test/java/frostrelay/log/LogTest.java
+++ b/node/src/test/java/frostrelay/log/LogTest.java
@@ -48,10 +48,12 @@
     void fieldsKeepTheirTypes() throws Exception {
         Map<String, Object> read = JSON.std.mapFrom(line(true, Log.NAME, "counts",
                 new KeyValuePair("counts", Map.of("taken", 7L)), new KeyValuePair("part", 0.5),
-                new KeyValuePair("replaced", true), new KeyValuePair("classes", List.of("a", "b"))));
+                new KeyValuePair("replaced", true),
+                new KeyValuePair("listen", new java.net.InetSocketAddress("127.0.0.1", 11211)), new KeyValuePair("classes", List.of("a", "b"))));
         assertEquals(Map.of("taken", 7), read.get("counts"));
         assertEquals(0.5, read.get("part"));
         assertEquals(true, read.get("replaced"));
+        assertEquals("127.0.0.1:11211", read.get("listen"));
         assertEquals(List.of("a", "b"), read.get("classes"));
         assertEquals("io.netty.x", JSON.std.mapFrom(line(true, "io.netty.x", "no {} there")).get("logger"));
     }
