Take out code that nothing calls, read a checked file once, mend lab's help

A percent sign in lab run's help was taken for a format by picocli, which warned and printed the text raw.

Nothing that the platform's run line loads has changed.

--- a/cli/src/main/java/frostrelay/cli/CheckCommand.java
+++ b/cli/src/main/java/frostrelay/cli/CheckCommand.java
@@ -3,6 +3,7 @@
 import frostrelay.config.BadConfigException;
 import frostrelay.config.Problem;
 import frostrelay.config.TomlFile;
+import frostrelay.config.Values;
 import frostrelay.lab.PlantFile;
 import frostrelay.rig.day.DayFile;
 import java.nio.file.Files;
@@ -72,16 +73,18 @@
         if (name.endsWith(".json")) {
             return Platform.check(file);
         }
+        Values values;
         if (has(file, "[plant]")) {
-            PlantFile.read(file);
-            return TomlFile.read(file, PlantFile.form()).write();
+            values = TomlFile.read(file, PlantFile.form());
+            PlantFile.bind(file.toString(), values);
+        } else if (has(file, "[[class]]")) {
+            values = TomlFile.read(file, DayFile.form());
+            DayFile.bind(file.toString(), values);
+        } else {
+            // Its form says all that must hold.
+            values = TomlFile.read(file, OwnSettings.form());
         }
-        if (has(file, "[[class]]")) {
-            DayFile.read(file);
-            return TomlFile.read(file, DayFile.form()).write();
-        }
-        OwnSettings.read(file);
-        return TomlFile.read(file, OwnSettings.form()).write();
+        return values.write();
     }
 
     private static boolean has(Path file, String head) {
--- a/cli/src/main/java/frostrelay/cli/LabCommand.java
+++ b/cli/src/main/java/frostrelay/cli/LabCommand.java
@@ -32,7 +32,7 @@
 
     /** Plays plants and prints what they came to. */
     @Command(name = "run", mixinStandardHelpOptions = true, description = {
-        "Plays each plant with the same seeds, on all cores, with the real decision module, and prints means with 95%"
+        "Plays each plant with the same seeds, on all cores, with the real decision module, and prints means with 95%%"
         + " confidence intervals; of the second plant on, also how much they differ from the first, day by day.",
         "Exits with 1 if a rule was broken on any day."})
     static final class Run implements Callable<Integer> {
--- a/config/src/main/java/frostrelay/config/TomlFile.java
+++ b/config/src/main/java/frostrelay/config/TomlFile.java
@@ -87,11 +87,6 @@
                 String.valueOf(error.getMessage()).replaceAll("\\p{Cntrl}", " ")));
     }
 
-    /** The values where there is no file. */
-    public static Values standard(Table form) {
-        return parse("", "", form);
-    }
-
     private static String join(String path, String name) {
         return path.isEmpty() ? name : path + "." + name;
     }
--- a/config/src/main/java/frostrelay/config/Values.java
+++ b/config/src/main/java/frostrelay/config/Values.java
@@ -1,6 +1,5 @@
 package frostrelay.config;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -73,8 +72,7 @@
             text.append(text.length() > 0 ? "\n" : "").append(list ? "[[" : "[").append(path)
                     .append(list ? "]]\n" : "]\n");
         }
-        Map<String, Key> keys = new LinkedHashMap<>(form.keys);
-        keys.forEach((name, key) -> text.append(name).append(" = ").append(key.kind().write(values.get(name)))
+        form.keys.forEach((name, key) -> text.append(name).append(" = ").append(key.kind().write(values.get(name)))
                 .append('\n'));
         form.tables.forEach((name, inner) -> list(name)
                 .forEach(one -> one.write(path.isEmpty() ? name : path + "." + name, inner.list(), text)));
--- a/emulator/src/main/java/frostrelay/emulator/Memory.java
+++ b/emulator/src/main/java/frostrelay/emulator/Memory.java
@@ -33,8 +33,4 @@
     void clear() {
         versions.clear();
     }
-
-    int size() {
-        return versions.size();
-    }
 }
--- a/emulator/src/main/java/frostrelay/emulator/SimBalancer.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimBalancer.java
@@ -344,9 +344,4 @@
     long lastCalls() {
         return lastCalls;
     }
-
-    /** Requests that are open or whose attempts are. */
-    int open() {
-        return exchanges.size();
-    }
 }
--- a/emulator/src/main/java/frostrelay/emulator/SimCache.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimCache.java
@@ -186,10 +186,6 @@
         memory.clear();
     }
 
-    boolean isDown() {
-        return down;
-    }
-
     long hits() {
         return hits;
     }
--- a/emulator/src/main/java/frostrelay/lab/PlantFile.java
+++ b/emulator/src/main/java/frostrelay/lab/PlantFile.java
@@ -91,7 +91,8 @@
         return bind(file, TomlFile.parse(file, text, form()));
     }
 
-    private static Plant bind(String file, Values values) {
+    /** What values mean that were read by the form; throws {@link BadConfigException} with what cannot be meant. */
+    public static Plant bind(String file, Values values) {
         List<Problem> problems = new ArrayList<>();
         List<Plant.Load> classes = new ArrayList<>();
         double sum = 0;
--- a/rig/src/main/java/frostrelay/rig/archive/ArchiveServer.java
+++ b/rig/src/main/java/frostrelay/rig/archive/ArchiveServer.java
@@ -39,7 +39,6 @@
     private final Deque<Job> waiting = new ArrayDeque<>();
     private final Deque<Long> arrivals = new ArrayDeque<>();
     private final LongAdder taken = new LongAdder();
-    private final LongAdder falls = new LongAdder();
     private int busy;
     private double slow = 1;
     private long downUntil;
@@ -80,13 +79,7 @@
         return taken.sum();
     }
 
-    /** How often it has stopped. */
-    public long falls() {
-        return falls.sum();
-    }
-
     private void fall(long now, long time) {
-        falls.increment();
         downUntil = Math.max(downUntil, now + time);
         for (Job job : waiting) {
             refuse(job);
--- a/rig/src/main/java/frostrelay/rig/day/DayFile.java
+++ b/rig/src/main/java/frostrelay/rig/day/DayFile.java
@@ -116,7 +116,8 @@
         }
     }
 
-    private static Day bind(String file, Values values) {
+    /** What values mean that were read by the form; throws {@link BadConfigException} with what cannot be meant. */
+    public static Day bind(String file, Values values) {
         List<Problem> problems = new ArrayList<>();
         Values fleet = values.table("fleet");
         Values load = values.table("load");
