--- a/emulator/src/main/java/frostrelay/emulator/Emulation.java
+++ b/emulator/src/main/java/frostrelay/emulator/Emulation.java
@@ -7,21 +7,23 @@
 import java.util.Map;
 import java.util.function.ToLongFunction;
 import org.agrona.collections.Long2LongHashMap;
-import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.sampling.PermutationSampler;
 
 /** One day of a plant, from its first request until the last has ended. The same plant gives the same figures. */
 public final class Emulation {
     private static final long SECOND = 1_000_000_000L;
     static final long DRAIN_GRACE = SECOND / 2;
     private static final long REPEAT_WINDOW = 8 * SECOND;
+    /** What tenants may ask for, for each request that they ask on the mean. */
+    private static final double ROOM = 1.35;
 
     /**
-     * What a day came to. {@code taken}: tries that came to balancers, also while the plant settled; {@code wall}:
-     * nanoseconds that it took to emulate.
+     * What a day came to. {@code taken}: tries that came to balancers, also while the plant settled; {@code listLines}:
+     * entries of lists that were told; {@code waste}: the part of caches' work that nobody waited for when it was done;
+     * {@code wall}: nanoseconds that it took to emulate.
      */
     public record Result(Figures figures, Course course, long taken, long events, long sends, long copies, long hits, long misses,
-                         long fetches, long falls, Map<String, Long> rulesBroken, long wall) {
+                         long fetches, long falls, long handshakes, long listLines, double waste, Map<String, Long> rulesBroken,
+                         long wall) {
         /** How often any of the operators' rules was broken. */
         public long breaks() {
             return rulesBroken.values().stream().mapToLong(Long::longValue).sum();
@@ -32,6 +34,11 @@
             return hits + misses == 0 ? 0 : hits / (double) (hits + misses);
         }
 
+        /** A count for each first try. */
+        public double each(long count) {
+            return count / (double) Math.max(1, figures.asked());
+        }
+
         /** Sends beyond the first, for each try. */
         public double copyShare() {
             return figures.tries() == 0 ? 0 : copies / (double) figures.tries();
@@ -60,36 +67,43 @@
     private final SimOrigin origin;
     private final SimDiscovery discovery;
     private final List<SimCache> caches = new ArrayList<>();
+    /** What answers at each cache's address: another one may have taken it over. */
+    private final List<SimCache> addresses;
     private final List<SimBalancer> balancers = new ArrayList<>();
     private final SimClients clients;
-    private final UniformRandomProvider random;
+    private final SimFaults faults;
 
     private Emulation(Plant plant, SimBalancer.Module module) {
         this.plant = plant;
-        figures = new Figures(plant.settle(), plant.length());
-        random = Randoms.of(plant.seed(), "faults");
+        figures = new Figures(plant.settle(), plant.length(), plant.classes().size(), plant.tenants().size());
         origin = new SimOrigin(plant.origin(), timeline, plant.seed());
-        discovery = new SimDiscovery(timeline, plant.caches(), plant.discoveryLateness());
-        Wire wire = new Wire(plant.network(), plant.seed());
+        int all = plant.caches() + plant.newcomers();
+        discovery = new SimDiscovery(timeline, plant.discovery(), plant.zones(), plant.caches(), all);
+        Wire wire = new Wire(plant.network(), plant.zones(), plant.seed());
         int[] versions = new int[plant.clients().keys()];
         Long2LongHashMap places = new Long2LongHashMap(-1);
-        for (int i = 0; i < plant.caches(); i++) {
-            SimCache cache = new SimCache(plant.cache(), timeline, origin, versions,
+        int mostLinks = plant.links().modelled() ? plant.links().atCache() : Integer.MAX_VALUE;
+        for (int i = 0; i < all; i++) {
+            SimCache cache = new SimCache(plant.cache(), mostLinks, timeline, origin, versions,
                     new ColdGuard(referee, plant.cache(), plant.meanWork()));
             caches.add(cache);
             places.put(SimDiscovery.id(i), i);
-            if (plant.cache().filled()) {
+            if (i >= plant.caches()) {
+                cache.kill(0);
+            } else if (plant.cache().filled()) {
                 for (int key = Math.min(plant.cache().memory(), versions.length) - 1; key >= 0; key--) {
                     cache.fill(key);
                 }
             }
         }
+        addresses = new ArrayList<>(caches);
         for (int i = 0; i < plant.balancers(); i++) {
-            balancers.add(new SimBalancer(plant.balancer(), timeline, wire, discovery, caches, places, module,
+            balancers.add(new SimBalancer(plant, timeline, wire, discovery, addresses, places, module,
                     settings(plant, i), referee, plant.seed() * 31 + i));
         }
         clients = new SimClients(plant, timeline, wire, balancers, figures, referee);
-        course = new Course(figures.seconds(), plant.caches());
+        faults = new SimFaults(plant, timeline, wire, origin, discovery, caches, addresses, balancers, clients);
+        course = new Course(figures.seconds(), caches, balancers);
         course.count("asked", figures::asked);
         course.count("tries", figures::tries);
         course.count("inTime", figures::inTime);
@@ -100,6 +114,10 @@
         course.count("copies", () -> sum(balancers, SimBalancer::copies));
         course.count("sends", () -> sum(balancers, SimBalancer::sends));
         course.count("fetches", origin::calls);
+        course.count("handshakes", () -> sum(balancers, SimBalancer::handshakes));
+        course.count("listLines", discovery::lines);
+        course.count("worked", () -> sum(caches, SimCache::worked));
+        course.count("wasted", () -> sum(caches, SimCache::wasted));
     }
 
     private static <T> long sum(List<T> all, ToLongFunction<T> one) {
@@ -126,12 +144,12 @@
         clients.start();
         origin.freeUntil(plant.settle());
         timeline.run(plant.settle());
-        course.begin(caches);
-        plant.faults().forEach(fault -> timeline.at(plant.settle() + fault.at(), now -> apply(now, fault)));
+        course.begin();
+        faults.begin();
         long end = plant.settle() + plant.length();
         for (int second = 0; second < figures.seconds(); second++) {
             timeline.run(Math.min(end, plant.settle() + (second + 1) * SECOND));
-            course.sample(second, figures, caches, plant.cache().cores());
+            course.sample(second, figures, plant.cache().cores());
         }
         long latest = end + plant.classes().stream().mapToLong(Plant.Load::deadline).max().orElse(0) + SECOND;
         for (long at = end; clients.open() > 0 && at <= latest; at += SECOND) {
@@ -140,86 +158,19 @@
         referee.broken(SimReferee.Rule.UNANSWERED, clients.open());
         return new Result(figures, course, sum(balancers, SimBalancer::taken), timeline.happened(), course.total("sends"), course.total("copies"),
                 course.total("hits"), course.total("misses"), course.total("fetches"), origin.falls(),
+                course.total("handshakes"), course.total("listLines"), course.total("wasted") / (double) Math.max(1, course.total("worked")),
                 referee.breaks(), System.nanoTime() - start);
     }
 
-    private void apply(long now, Plant.Fault fault) {
-        int all = fault.kind() == Plant.Kind.BALANCER_RESTART ? balancers.size() : caches.size();
-        int some = Math.min(all, Math.max(1, (int) Math.round(all * fault.part())));
-        int[] met = new PermutationSampler(random, all, some).sample();
-        set(now, fault, met, true);
-        if (fault.length() > 0) {
-            timeline.at(now + fault.length(), then -> set(then, fault, met, false));
-        }
-    }
-
-    private void set(long now, Plant.Fault fault, int[] met, boolean on) {
-        switch (fault.kind()) {
-            case ORIGIN_OUTAGE -> {
-                if (on) {
-                    origin.stop(now, fault.length());
-                }
-            }
-            case ORIGIN_SLOW -> origin.slow(on ? fault.factor() : 1);
-            case DISCOVERY_OUTAGE -> discovery.outage(now, on);
-            case SURGE -> clients.surge(on ? fault.factor() : 1);
-            default -> {
-                for (int place : met) {
-                    one(now, fault, place, on);
-                }
-            }
-        }
-    }
-
-    private void one(long now, Plant.Fault fault, int place, boolean on) {
-        switch (fault.kind()) {
-            case CACHE_SLOW -> caches.get(place).slow(on ? fault.factor() : 1);
-            case CACHE_SILENT -> caches.get(place).silent(on);
-            case WRONG_ENTRIES -> discovery.slander(now, place, on);
-            // Half of the balancers lose sight of these caches: the two sides see different plants.
-            case PARTITION -> balancers.subList(0, (balancers.size() + 1) / 2).forEach(one -> one.cutOff(place, on));
-            case COPIES_RELEASED -> {
-                if (on) {
-                    caches.get(place).release();
-                }
-            }
-            case CACHE_DRAIN -> {
-                if (on) {
-                    discovery.change(now, place, Api.State.DRAINING, 0);
-                } else {
-                    caches.get(place).kill(now);
-                    caches.get(place).start(now);
-                    discovery.change(now, place, Api.State.READY, now);
-                }
-            }
-            case CACHE_KILL, CACHE_RESTART -> {
-                if (on) {
-                    caches.get(place).kill(now);
-                    discovery.change(now, place, Api.State.GONE, 0);
-                }
-                if (!on || fault.length() == 0 && fault.kind() == Plant.Kind.CACHE_RESTART) {
-                    caches.get(place).start(now);
-                    discovery.change(now, place, Api.State.READY, now);
-                }
-            }
-            default -> {
-                if (on) {
-                    balancers.get(place).kill(now);
-                }
-                if (!on || fault.length() == 0) {
-                    balancers.get(place).start(now);
-                }
-            }
-        }
-    }
-
     private static Api.Settings settings(Plant plant, int rank) {
         List<Api.RequestClass> classes = new ArrayList<>();
         for (Plant.Load load : plant.classes()) {
             classes.add(new Api.RequestClass(load.aim(), 0, load.deadline(), load.worth(), 0.3, load.effect(),
                     Api.Group.ALL, REPEAT_WINDOW, false, false));
         }
-        return new Api.Settings(classes, List.of(), 0, rank, plant.balancers(), false, -1, true,
+        double perSecond = plant.clients().rate();
+        List<Api.Tenant> tenants = plant.tenants().stream().map(part -> new Api.Tenant(ROOM * part * perSecond, part)).toList();
+        return new Api.Settings(classes, tenants, rank % plant.zones(), rank, plant.balancers(), false, -1, true,
                 plant.balancer().maxAttempts(), plant.balancer().hedges(), true, true, SECOND, DRAIN_GRACE, 5 * SECOND,
                 plant.cache().coldFrom(), Math.max(1, plant.cache().warmWithin()), ColdGuard.TIP_MULTIPLE,
                 ColdGuard.FALL_TIME, 1, SECOND, null,
--- a/emulator/src/main/java/frostrelay/emulator/Figures.java
+++ b/emulator/src/main/java/frostrelay/emulator/Figures.java
@@ -7,6 +7,11 @@
 public final class Figures {
     private static final long SECOND = 1_000_000_000L;
     private static final long MOST_MICROS = 120_000_000L;
+    /** What an answer after its aim is worth, as a part. */
+    static final double LATE_WORTH = 0.3;
+    /** What the whole day, its worst ten seconds, its worst class and its worst tenant weigh for the operators. */
+    private static final double[] WEIGHTS = {0.45, 0.15, 0.3, 0.1};
+    private static final int WORST_SECONDS = 10;
 
     private final Histogram latency = new Histogram(MOST_MICROS, 3);
     /** Of the second that runs. */
@@ -16,6 +21,9 @@
     /** By the second in which first tries were made. */
     private final int[] askedBySecond;
     private final int[] inTimeBySecond;
+    /** Worth asked for and earned, answers after the aim included: by second, class and tenant. */
+    private final double[][] asks;
+    private final double[][] earns;
     private long asked;
     private long tries;
     private long inTime;
@@ -25,17 +33,20 @@
     private double worthAsked;
     private double worthInTime;
 
-    Figures(long start, long length) {
+    Figures(long start, long length, int classes, int tenants) {
         this.start = start;
         int seconds = (int) ((length + SECOND - 1) / SECOND);
+        asks = new double[][] {new double[seconds], new double[classes], new double[Math.max(1, tenants)]};
+        earns = new double[][] {new double[seconds], new double[classes], new double[Math.max(1, tenants)]};
         askedBySecond = new int[seconds];
         inTimeBySecond = new int[seconds];
     }
 
-    void asked(long at, double worth) {
+    void asked(long at, int requestClass, int tenant, double worth) {
         if (at < start) {
             return;
         }
+        add(asks, at, requestClass, tenant, worth);
         asked++;
         worthAsked += worth;
         askedBySecond[(int) ((at - start) / SECOND)]++;
@@ -45,10 +56,17 @@
         tries += at < start ? 0 : 1;
     }
 
-    void served(long at, long took, boolean good, double worth) {
+    private void add(double[][] sums, long at, int requestClass, int tenant, double worth) {
+        sums[0][(int) ((at - start) / SECOND)] += worth;
+        sums[1][requestClass] += worth;
+        sums[2][tenant] += worth;
+    }
+
+    void served(long at, long took, boolean good, int requestClass, int tenant, double worth) {
         if (at < start) {
             return;
         }
+        add(earns, at, requestClass, tenant, good ? worth : LATE_WORTH * worth);
         latency.recordValue(Math.min(MOST_MICROS, took / 1_000));
         lately.recordValue(Math.min(MOST_MICROS, took / 1_000));
         if (good) {
@@ -106,6 +124,26 @@
         return worthAsked == 0 ? 0 : worthInTime / worthAsked;
     }
 
+    /** The operators' goal: whole day, worst ten seconds, worst class and worst tenant weighed, before any price. */
+    public double goal() {
+        double whole = Arrays.stream(earns[1]).sum() / Math.max(1e-9, Arrays.stream(asks[1]).sum());
+        double spell = 1;
+        for (int from = 0; from + WORST_SECONDS <= asks[0].length; from++) {
+            double all = Arrays.stream(asks[0], from, from + WORST_SECONDS).sum();
+            spell = all == 0 ? spell
+                    : Math.min(spell, Arrays.stream(earns[0], from, from + WORST_SECONDS).sum() / all);
+        }
+        return WEIGHTS[0] * whole + WEIGHTS[1] * Math.min(whole, spell) + WEIGHTS[2] * least(1) + WEIGHTS[3] * least(2);
+    }
+
+    private double least(int by) {
+        double least = 1;
+        for (int i = 0; i < asks[by].length; i++) {
+            least = asks[by][i] == 0 ? least : Math.min(least, earns[by][i] / asks[by][i]);
+        }
+        return least;
+    }
+
     /** A percentile of served latencies from the first try on, in milliseconds. */
     public double ms(double percentile) {
         return latency.getTotalCount() == 0 ? 0 : latency.getValueAtPercentile(percentile) / 1e3;
--- a/emulator/src/main/java/frostrelay/emulator/SimBalancer.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimBalancer.java
@@ -6,6 +6,7 @@
 import java.util.BitSet;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
 import org.agrona.collections.Long2LongHashMap;
 import org.agrona.collections.Long2ObjectHashMap;
 
@@ -45,6 +46,7 @@
     private static final long MILLISECOND = 1_000_000L;
     private static final long WAYS = 6 * MILLISECOND;
     private static final float[] NO_REPORT = {};
+    private static final int NO_LINK = -1;
 
     private static final class Exchange {
         final long id;
@@ -71,6 +73,13 @@
         boolean over;
         long timeout = Timeline.NO_MARK;
         Api.Source source = Api.Source.UNKNOWN;
+        int place;
+        /** In which life of the cache its connection came up, {@link #NO_LINK} while it has none. */
+        int link = NO_LINK;
+        /** The first on its connection bears the handshake's work. */
+        boolean first;
+        /** It is on its way: it may run. */
+        boolean written;
 
         Attempt(Exchange exchange, int number, long sentAt) {
             this.exchange = exchange;
@@ -85,7 +94,7 @@
 
         @Override
         public double work() {
-            return exchange.caller.work();
+            return exchange.caller.work() + (first ? linkSpec.work() : 0);
         }
 
         @Override
@@ -117,56 +126,78 @@
                 case FETCHED -> Api.Source.FETCH;
                 default -> Api.Source.UNKNOWN;
             };
-            timeline.at(now + wire.delay(), then -> busy(then, at -> SimBalancer.this.ended(at, this, reason)));
+            if (!wire.losesAnswer() && wire.passes(zone, zone(place))) {
+                timeline.at(now + wire.delay(zone(place), zone), then -> busy(then, at -> SimBalancer.this.ended(at, this, reason)));
+            }
         }
     }
 
     private final Plant.Balancer spec;
+    private final Plant.Links linkSpec;
     private final Timeline timeline;
     private final Wire wire;
     private final SimDiscovery discovery;
-    private final List<SimCache> caches;
+    /** What answers at the address that a place's id is listed with. */
+    private final List<SimCache> addresses;
     private final Long2LongHashMap places;
     private final Module module;
     private final Api.Settings settings;
+    private final int zone;
+    private final int zones;
     private final long seed;
     private final Long2ObjectHashMap<Exchange> exchanges = new Long2ObjectHashMap<>();
     /** Caches that nothing sent from here reaches. */
     private final BitSet cut = new BitSet();
     private final SimReferee referee;
+    /** Connections; null where they are not part of the model. */
+    private final SimLinks links;
     /** Since when this balancer has been told that a cache drains or is gone; 0 where it has not. */
     private final long[] leavingSince;
+    private Set<Long> held = Set.of();
     private Api.Events router;
     private int life;
     private boolean down;
+    private boolean leaving;
     private long freeAt;
     private long lastId;
     private long now;
     private long sends;
     private long copies;
+    private long served;
 
-    SimBalancer(Plant.Balancer spec, Timeline timeline, Wire wire, SimDiscovery discovery, List<SimCache> caches,
+    /** {@code seed}: of its module; its zone is that of its settings. */
+    SimBalancer(Plant plant, Timeline timeline, Wire wire, SimDiscovery discovery, List<SimCache> addresses,
                 Long2LongHashMap places, Module module, Api.Settings settings,
                 SimReferee referee, long seed) {
         this.referee = referee;
-        this.leavingSince = new long[caches.size()];
-        this.spec = spec;
+        this.leavingSince = new long[addresses.size()];
+        this.spec = plant.balancer();
+        this.linkSpec = plant.links();
+        this.zones = plant.zones();
+        this.zone = settings.zone();
         this.timeline = timeline;
         this.wire = wire;
         this.discovery = discovery;
-        this.caches = caches;
+        this.addresses = addresses;
         this.places = places;
         this.module = module;
         this.settings = settings;
         this.seed = seed;
+        links = linkSpec.modelled() ? new SimLinks(linkSpec, addresses) : null;
         start(0);
     }
 
+    private int zone(int place) {
+        return place % zones;
+    }
+
     /** Begins anew, knowing the list as it was last. */
     void start(long at) {
         down = false;
+        leaving = false;
         now = at;
         router = module.create(settings, seed + life, this);
+        router.onHolds(at, held);
         List<Api.Server> list = discovery.list();
         note(at, Api.ListMode.CACHED, list);
         router.onList(at, Api.ListMode.CACHED, list);
@@ -175,17 +206,45 @@
     private void note(long at, Api.ListMode mode, List<Api.Server> servers) {
         if (mode != Api.ListMode.FAILED) {
             for (Api.Server server : servers) {
-                int place = (int) places.get(server.id());
-                leavingSince[place] = server.state() == Api.State.READY ? 0
-                        : leavingSince[place] == 0 ? Math.max(1, at) : leavingSince[place];
+                leave((int) places.get(server.id()), at, server.state() != Api.State.READY || held.contains(server.id()));
             }
         }
     }
 
+    private void leave(int place, long at, boolean leaves) {
+        leavingSince[place] = !leaves ? 0 : leavingSince[place] == 0 ? Math.max(1, at) : leavingSince[place];
+    }
+
+    /** Operators hold these caches out of use, all of them and no others. */
+    void hold(long at, Set<Long> ids) {
+        held.forEach(id -> leave((int) places.get((long) id), at, ids.contains(id)));
+        ids.forEach(id -> leave((int) places.get((long) id), at, true));
+        held = Set.copyOf(ids);
+        if (!down) {
+            now = at;
+            router.onHolds(at, held);
+        }
+    }
+
+    /** A planned restart: nothing new comes, what is open is served, and then it begins anew. */
+    void restart(long at, long longest) {
+        leaving = true;
+        int mine = life;
+        timeline.at(at + longest, then -> {
+            if (mine == life) {
+                kill(then);
+                start(then);
+            }
+        });
+    }
+
     /** Dies with everything it holds. */
     void kill(long at) {
         down = true;
         life++;
+        if (links != null) {
+            links.closeAll();
+        }
         discovery.forget(this);
         List<Exchange> lost = new ArrayList<>(exchanges.values());
         exchanges.clear();
@@ -198,8 +257,13 @@
         cut.set(place, on);
     }
 
+    /** Whether nothing new is to come here. */
     boolean isDown() {
-        return down;
+        return down || leaving;
+    }
+
+    int zone() {
+        return zone;
     }
 
     /** Runs an action once the core is free for it. */
@@ -279,10 +343,12 @@
         }
         attempt.over = true;
         timeline.cancel(attempt.timeout);
+        release(at, attempt, reason);
         Exchange exchange = attempt.exchange;
         exchange.pending--;
         now = at;
         if (reason == Reason.OK && !exchange.over) {
+            served++;
             finish(exchange, Answer.SERVED, 0);
         }
         router.onOutcome(at, new Api.Outcome(exchange.id, attempt.number, reason, at - attempt.sentAt, exchange.over,
@@ -317,17 +383,96 @@
         sends++;
         copies += exchange.attempts.size() > 1 ? 1 : 0;
         long until = cutAt <= 0 ? exchange.deadline : Math.min(cutAt, exchange.deadline);
-        attempt.timeout = timeline.at(until, then -> ended(then, attempt, Reason.TIMEOUT));
-        int place = (int) places.get(server);
-        if (leavingSince[place] != 0 && now - leavingSince[place] > Emulation.DRAIN_GRACE) {
+        // What never left cannot have run: its connection did not come up in time.
+        attempt.timeout = timeline.at(until, then -> ended(then, attempt,
+                attempt.written ? Reason.TIMEOUT : Reason.CONNECT_FAILED));
+        attempt.place = (int) places.get(server);
+        if (leavingSince[attempt.place] != 0 && now - leavingSince[attempt.place] > Emulation.DRAIN_GRACE) {
             referee.broken(SimReferee.Rule.SENT_TO_DRAINING);
         }
-        if (!wire.loses() && !cut.get(place)) {
-            SimCache cache = caches.get(place);
-            timeline.at(now + wire.delay(), then -> cache.accept(then, attempt));
+        if (links == null) {
+            write(now, attempt);
+        } else if (links.take(now, attempt.place)) {
+            attempt.link = links.life(attempt.place);
+            write(now, attempt);
+        } else if (links.room(now)) {
+            connect(attempt);
+        } else {
+            timeline.at(now, then -> ended(then, attempt, Reason.MOOT));
         }
     }
 
+    private boolean reaches(int place) {
+        return !cut.get(place) && wire.passes(zone, zone(place));
+    }
+
+    private void connect(Attempt attempt) {
+        links.begin();
+        int place = attempt.place;
+        long begun = now;
+        long trip = wire.delay(zone, zone(place)) + wire.delay(zone(place), zone) + linkSpec.handshake();
+        timeline.at(begun + trip, then -> {
+            if (attempt.mine != life) {
+                return;
+            }
+            Boolean up = reaches(place) ? addresses.get(place).link() : null;
+            if (up == null) {
+                timeline.at(begun + linkSpec.timeout(), at -> unconnected(at, attempt));
+            } else if (!up) {
+                unconnected(then, attempt);
+            } else {
+                links.up(then, place);
+                if (attempt.over) {
+                    // Cancelled while it came up: nothing was written, and it is kept.
+                    links.free(then, place, links.life(place));
+                } else {
+                    attempt.link = links.life(place);
+                    attempt.first = true;
+                    now = then;
+                    write(then, attempt);
+                }
+            }
+        });
+    }
+
+    private void unconnected(long at, Attempt attempt) {
+        if (attempt.mine == life) {
+            links.failed();
+            busy(at, then -> ended(then, attempt, Reason.CONNECT_FAILED));
+        }
+    }
+
+    private void write(long at, Attempt attempt) {
+        attempt.written = true;
+        if (wire.loses() || !reaches(attempt.place)) {
+            return;
+        }
+        SimCache cache = addresses.get(attempt.place);
+        boolean reset = wire.resets();
+        timeline.at(at + wire.delay(zone, zone(attempt.place)), then -> {
+            if (reset) {
+                timeline.at(then + wire.delay(zone(attempt.place), zone), back -> ended(back, attempt, Reason.RESET));
+            }
+            // Of those that are reset every other one has come, and may run.
+            if (!reset || (attempt.exchange.id & 1) == 0) {
+                cache.accept(then, attempt);
+            }
+        });
+    }
+
+    /** A connection is free after an answer; given up under a request it is closed, as the answer may still come. */
+    private void release(long at, Attempt attempt, Reason reason) {
+        if (attempt.link == NO_LINK) {
+            return;
+        }
+        if (reason.answered() || reason == Reason.ERROR || reason == Reason.REJECTED) {
+            links.free(at, attempt.place, attempt.link);
+        } else {
+            links.close(attempt.place, attempt.link);
+        }
+        attempt.link = NO_LINK;
+    }
+
     @Override
     public void cancel(long request, int attempt) {
         Exchange exchange = exchanges.get(request);
@@ -369,7 +514,9 @@
 
     @Override
     public void closeIdle(long server) {
-        // Connections are not part of the model.
+        if (links != null) {
+            links.closeIdle((int) places.get(server));
+        }
     }
 
     @Override
@@ -386,6 +533,16 @@
         return sends;
     }
 
+    /** Requests that were served from here. */
+    long served() {
+        return served;
+    }
+
+    /** Connections that were begun. */
+    long handshakes() {
+        return links == null ? 0 : links.handshakes();
+    }
+
     /** Sends beyond the first of a request. */
     long copies() {
         return copies;
--- a/emulator/src/main/java/frostrelay/emulator/SimCache.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimCache.java
@@ -57,7 +57,13 @@
         }
     }
 
+    /** Lives of a newcomer are none of those that the cache before it at the same address had. */
+    private static final int NEWCOMER = 1 << 20;
+    /** Numbers without a pattern, out of a counter. */
+    private static final int GOLDEN = 0x9E3779B9;
+
     private final Plant.Cache spec;
+    private final int mostLinks;
     private final Timeline timeline;
     private final SimOrigin origin;
     /** How often each key was written, over all caches. */
@@ -79,10 +85,17 @@
     private long worked;
     /** Takes what comes and answers nothing. */
     private boolean silent;
+    /** The part of reads that fails for a cause of its own. */
+    private double failing;
+    private int links;
+    private long wasted;
+    private int failures;
 
-    SimCache(Plant.Cache spec, Timeline timeline, SimOrigin origin, int[] versions, ColdGuard guard) {
+    /** {@code mostLinks}: connections that it holds. */
+    SimCache(Plant.Cache spec, int mostLinks, Timeline timeline, SimOrigin origin, int[] versions, ColdGuard guard) {
         this.guard = guard;
         this.spec = spec;
+        this.mostLinks = mostLinks;
         this.timeline = timeline;
         this.origin = origin;
         this.versions = versions;
@@ -139,7 +152,7 @@
                 return;
             }
             busy--;
-            worked(then, visit);
+            worked(then, visit, time);
             while (busy < spec.cores() && !waiting.isEmpty()) {
                 Visit next = waiting.poll();
                 if (next.job.dropped()) {
@@ -151,14 +164,19 @@
         });
     }
 
-    private void worked(long now, Visit visit) {
+    private void worked(long now, Visit visit, long time) {
         Job job = visit.job;
+        wasted += job.dropped() ? time : 0;
         if (job.write()) {
             job.ran(now);
             versions[job.key()]++;
             call(now, good -> { }, List.of(visit));
             return;
         }
+        if (failing > 0 && (++failures * GOLDEN >>> 1) < failing * Integer.MAX_VALUE) {
+            end(now, visit, End.FAILED);
+            return;
+        }
         if (memory.has(job.key(), versions[job.key()])) {
             hits++;
             end(now, visit, End.HIT);
@@ -203,6 +221,7 @@
     void kill(long now) {
         down = true;
         life++;
+        links = 0;
         busy = 0;
         memory.clear();
         fetching.clear();
@@ -218,6 +237,12 @@
         startedAt = now;
     }
 
+    /** It comes in the place of another for the first time. */
+    void comeIn(long now) {
+        life += NEWCOMER;
+        start(now);
+    }
+
     /** Work takes so many times as long from now on. */
     void slow(double factor) {
         slow = factor;
@@ -228,6 +253,43 @@
         silent = on;
     }
 
+    /** Fails this part of its reads from now on. */
+    void failing(double part) {
+        failing = part;
+    }
+
+    /** Whether a new connection comes up: null while nothing answers, as from a machine that is cut off. */
+    Boolean link() {
+        if (silent) {
+            return null;
+        }
+        if (down || links >= mostLinks) {
+            return false;
+        }
+        links++;
+        return true;
+    }
+
+    /** A connection that came up in that life of it is closed. */
+    void unlink(int since) {
+        links -= since == life ? 1 : 0;
+    }
+
+    /** Counts lives: connections end with the process. */
+    int life() {
+        return life;
+    }
+
+    /** Connections that it holds. */
+    int links() {
+        return links;
+    }
+
+    /** Nanoseconds of its cores' time that were given to work that nobody waited for when it was done. */
+    long wasted() {
+        return wasted;
+    }
+
     /** Nanoseconds of its cores' time that were given to work. */
     long worked() {
         return worked;
--- a/emulator/src/main/java/frostrelay/emulator/SimClients.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimClients.java
@@ -2,7 +2,9 @@
 
 import frostrelay.policy.Api;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.AliasMethodDiscreteSampler;
 import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
 import org.apache.commons.rng.sampling.distribution.SharedStateDiscreteSampler;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
@@ -17,13 +19,17 @@
     private final Plant plant;
     private final Timeline timeline;
     private final Wire wire;
-    private final List<SimBalancer> balancers;
+    private final SimFront front;
     private final Figures figures;
     private final SimReferee referee;
     private final UniformRandomProvider random;
     private final ZigguratSampler.Exponential gaps;
     private final SharedStateDiscreteSampler keys;
+    private final UniformRandomProvider tenants;
     private double surge = 1;
+    private double firstTenant = 1;
+    private double eager = 1;
+    private double hasty = 1;
     private long open;
 
     SimClients(Plant plant, Timeline timeline, Wire wire, List<SimBalancer> balancers, Figures figures,
@@ -32,11 +38,21 @@
         this.plant = plant;
         this.timeline = timeline;
         this.wire = wire;
-        this.balancers = balancers;
+        this.front = new SimFront(plant, balancers);
         this.figures = figures;
         random = Randoms.of(plant.seed(), "clients");
+        tenants = Randoms.of(plant.seed(), "tenants");
         gaps = ZigguratSampler.Exponential.of(random);
-        keys = RejectionInversionZipfSampler.of(random, plant.clients().keys(), plant.clients().zipf());
+        keys = plant.clients().offset() == 0
+                ? RejectionInversionZipfSampler.of(random, plant.clients().keys(), plant.clients().zipf())
+                : flattened(random, plant.clients());
+    }
+
+    /** Zipf and Mandelbrot's law, ranks from 1 on. */
+    private static SharedStateDiscreteSampler flattened(UniformRandomProvider random, Plant.Clients clients) {
+        double[] weights = IntStream.rangeClosed(0, clients.keys())
+                .mapToDouble(rank -> rank == 0 ? 0 : Math.pow(rank + clients.offset(), -clients.zipf())).toArray();
+        return AliasMethodDiscreteSampler.of(random, weights);
     }
 
     void start() {
@@ -75,15 +91,39 @@
         return open;
     }
 
-    private SimBalancer front() {
-        int place = random.nextInt(balancers.size());
-        for (int i = 0; i < balancers.size(); i++) {
-            SimBalancer balancer = balancers.get((place + i) % balancers.size());
-            if (!balancer.isDown()) {
-                return balancer;
+    SimFront front() {
+        return front;
+    }
+
+    /** From now on the first tenant asks for so many times its part. */
+    void tenantSurge(double factor) {
+        firstTenant = factor;
+    }
+
+    /** From now on they come again at once, so many times as often. */
+    void eager(double factor) {
+        eager = factor;
+    }
+
+    /** From now on they give up so many times as early. */
+    void hasty(double factor) {
+        hasty = factor;
+    }
+
+    private int tenant() {
+        List<Double> parts = plant.tenants();
+        if (parts.isEmpty()) {
+            return 0;
+        }
+        double more = parts.get(0) * (firstTenant - 1);
+        double rest = tenants.nextDouble() * (1 + more) - more;
+        for (int i = 0; i < parts.size(); i++) {
+            rest -= parts.get(i);
+            if (rest < 0) {
+                return i;
             }
         }
-        return balancers.get(place);
+        return parts.size() - 1;
     }
 
     private int loadClass(double draw) {
@@ -104,6 +144,7 @@
         private final Plant.Load load;
         private final int key;
         private final double work;
+        private final int tenant;
         private int tries;
         private int runs;
 
@@ -113,8 +154,9 @@
             load = plant.classes().get(number);
             key = key(at);
             work = load.work() * (load.spread() == Plant.Spread.FIXED ? 1 : gaps.sample());
+            tenant = tenant();
             open++;
-            figures.asked(at, load.worth());
+            figures.asked(at, number, tenant, load.worth());
         }
 
         void send(long now) {
@@ -127,15 +169,15 @@
         void ended(long now, SimBalancer.Answer answer, long comeAgain) {
             if (answer == SimBalancer.Answer.SERVED) {
                 open--;
-                figures.served(at, now - at, now - at <= load.aim(), load.worth());
+                figures.served(at, now - at, now - at <= load.aim(), number, tenant, load.worth());
                 return;
             }
             // What may have run is made again only where a repeat does no harm or is dropped by its key.
             boolean may = answer == SimBalancer.Answer.REFUSED || load.effect() != Api.Effect.FRAGILE;
             long backoff = (long) ((plant.clients().backoff() << Math.min(tries - 1, MOST_SHIFT))
                     * (0.5 + random.nextDouble()));
-            long wait = plant.clients().comeAgain() ? Math.max(comeAgain, backoff) : backoff;
-            if (may && tries <= plant.clients().retries() && now + wait + LEAST_WAIT < at + load.deadline()) {
+            long wait = eager > 1 ? 0 : plant.clients().comeAgain() ? Math.max(comeAgain, backoff) : backoff;
+            if (may && tries <= plant.clients().retries() * eager && now + wait + LEAST_WAIT < at + load.deadline()) {
                 timeline.at(now + wait, this::send);
             } else {
                 open--;
@@ -161,14 +203,14 @@
 
         Try(First first, long now) {
             this.first = first;
-            long whole = (long) (first.load.deadline() * plant.clients().patience());
+            long whole = (long) (first.load.deadline() * plant.clients().patience() / hasty);
             waits = Math.min(whole, first.at + first.load.deadline() - now);
             patience = timeline.at(now + waits, this::late);
         }
 
         void arrive(long now) {
             if (!over) {
-                balancer = front();
+                balancer = front.choose(random);
                 id = balancer.take(now, this);
             }
         }
@@ -185,7 +227,7 @@
 
         @Override
         public Api.Request request(long number, long deadline) {
-            return new Api.Request(number, first.number, 0, Long.reverse(first.key + 1L), deadline,
+            return new Api.Request(number, first.number, first.tenant, Long.reverse(first.key + 1L), deadline,
                     (long) first.work, first.tries > 1, write());
         }
 
--- a/emulator/src/main/java/frostrelay/lab/Day.java
+++ b/emulator/src/main/java/frostrelay/lab/Day.java
@@ -13,10 +13,11 @@
 
 /**
  * What is kept of a day that was played: nothing in it depends on the machine. {@code course}: series by name, a value
- * for each second, and {@code load}, a row for one cache or for several; both empty where they are not kept.
+ * for each second; {@code load}, a row for one cache or for several, and {@code unserved}, likewise of balancers; all
+ * empty where they are not kept.
  */
 public record Day(int point, long seed, long asked, long breaks, Map<String, Double> metrics,
-                  Map<String, List<Double>> course, List<List<Double>> load) {
+                  Map<String, List<Double>> course, List<List<Double>> load, List<List<Double>> unserved) {
     private static final double DIGITS = 1e6;
 
     /** Plays a day of a point. */
@@ -25,22 +26,30 @@
         Map<String, Double> metrics = new LinkedHashMap<>();
         Metrics.of(plant, result).forEach((name, value) -> metrics.put(name, round(value)));
         Map<String, List<Double>> course = new LinkedHashMap<>();
-        List<List<Double>> load = new ArrayList<>();
+        List<List<Double>> load = List.of();
+        List<List<Double>> unserved = List.of();
         if (withCourse) {
             Course went = result.course();
             went.counts().forEach((name, counts) -> course.put(name,
                     Arrays.stream(counts).mapToObj(count -> (double) count).toList()));
             course.put("p50Ms", Arrays.stream(went.p50()).boxed().toList());
             course.put("p99Ms", Arrays.stream(went.p99()).boxed().toList());
-            for (float[] row : went.load()) {
-                List<Double> one = new ArrayList<>();
-                for (float value : row) {
-                    one.add(Math.round(value * 1e3) / 1e3);
-                }
-                load.add(one);
+            load = rows(went.load());
+            unserved = rows(went.unserved());
+        }
+        return new Day(point, plant.seed(), result.figures().asked(), result.breaks(), metrics, course, load, unserved);
+    }
+
+    private static List<List<Double>> rows(float[][] rows) {
+        List<List<Double>> all = new ArrayList<>();
+        for (float[] row : rows) {
+            List<Double> one = new ArrayList<>();
+            for (float value : row) {
+                one.add(Math.round(value * 1e3) / 1e3);
             }
+            all.add(one);
         }
-        return new Day(point, plant.seed(), result.figures().asked(), result.breaks(), metrics, course, load);
+        return all;
     }
 
     private static double round(double value) {
@@ -58,6 +67,7 @@
         if (!course.isEmpty()) {
             all.put("course", course);
             all.put("load", load);
+            all.put("unserved", unserved);
         }
         return JSON.std.asString(all);
     }
@@ -69,12 +79,13 @@
         map(all.get("metrics")).forEach((name, value) -> metrics.put(name, ((Number) value).doubleValue()));
         Map<String, List<Double>> course = new LinkedHashMap<>();
         map(all.getOrDefault("course", Map.of())).forEach((name, values) -> course.put(name, numbers(values)));
-        List<List<Double>> load = new ArrayList<>();
-        for (Object row : (List<?>) all.getOrDefault("load", List.of())) {
-            load.add(numbers(row));
-        }
         return new Day(((Number) all.get("point")).intValue(), ((Number) all.get("seed")).longValue(),
-                ((Number) all.get("asked")).longValue(), ((Number) all.get("breaks")).longValue(), metrics, course, load);
+                ((Number) all.get("asked")).longValue(), ((Number) all.get("breaks")).longValue(), metrics, course,
+                rows(all, "load"), rows(all, "unserved"));
+    }
+
+    private static List<List<Double>> rows(Map<String, Object> all, String name) {
+        return ((List<?>) all.getOrDefault(name, List.of())).stream().map(Day::numbers).toList();
     }
 
     private static Map<String, Object> map(Object value) {
--- a/emulator/src/main/java/frostrelay/lab/ExperimentFile.java
+++ b/emulator/src/main/java/frostrelay/lab/ExperimentFile.java
@@ -5,6 +5,7 @@
 import frostrelay.config.Table;
 import frostrelay.config.TomlFile;
 import frostrelay.config.Values;
+import frostrelay.emulator.Plant;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongFunction;
 import org.apache.commons.rng.sampling.ListSampler;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -79,14 +81,16 @@
                 : new Experiment.Stop(stop.text("metric"), stop.number("half"), (int) stop.whole("least")));
     }
 
-    /** Plants as they are, each a point. */
+    /** Plants, each a point; what they say is to be drawn is drawn for each seed. */
     public static Experiment ofPlants(List<Path> paths, int seeds) {
         List<Experiment.Point> points = new ArrayList<>();
         StringBuilder all = new StringBuilder().append(seeds);
         for (Path path : paths) {
             Values values = TomlFile.read(path, PlantFile.form());
             all.append(values.write());
-            points.add(new Experiment.Point(name(path), Map.of(), PlantFile.bind(path.toString(), values)));
+            String file = path.toString();
+            LongFunction<Plant> draws = seed -> PlantFile.bind(file, Draws.of(file, values, seed));
+            points.add(new Experiment.Point(name(path), Map.of(), draws.apply(values.whole("seed")), draws));
         }
         return new Experiment(name(paths.get(0)), digest(all.toString()), points, seeds, null);
     }
--- a/emulator/src/main/java/frostrelay/lab/Lab.java
+++ b/emulator/src/main/java/frostrelay/lab/Lab.java
@@ -90,16 +90,16 @@
 
     private static Future<Day> submit(ExecutorService pool, Experiment experiment, int point, int number,
                                       ResultsFile file) {
-        Plant plant = experiment.points().get(point).plant();
-        Plant day = plant.seeded(plant.seed() + number);
+        Experiment.Point played = experiment.points().get(point);
+        Plant day = played.draws().apply(played.plant().seed() + number);
         return pool.submit(() -> {
-            Day played = file.find(point, day.seed());
-            if (played == null) {
+            Day known = file.find(point, day.seed());
+            if (known == null) {
                 // The course of one day is enough to look at, and keeps the file small.
-                played = Day.play(point, day, number == 0);
-                file.add(played);
+                known = Day.play(point, day, number == 0);
+                file.add(known);
             }
-            return played;
+            return known;
         });
     }
 }
--- a/emulator/src/main/java/frostrelay/lab/Metrics.java
+++ b/emulator/src/main/java/frostrelay/lab/Metrics.java
@@ -16,7 +16,12 @@
 
     /** All names, in the order in which they are told; the last ones are there for days with faults only. */
     public static final List<String> NAMES = List.of("service", "p50Ms", "p99Ms", "copyShare", "hitShare", "fetches",
-            "originFalls", "refusedShare", "failedShare", "recovery", "afterwards");
+            "originFalls", "refusedShare", "failedShare", "goal", "prices", "handshakes", "listLines", "waste", "recovery",
+            "afterwards");
+    /** What the operators take off the goal for a handshake at each first try, a hundred list lines and all work wasted. */
+    private static final double HANDSHAKE_PRICE = 0.08;
+    private static final double LIST_PRICE = 0.01 / 100;
+    private static final double WASTE_PRICE = 0.02;
 
     private Metrics() {
     }
@@ -34,6 +39,12 @@
         all.put("originFalls", (double) result.falls());
         all.put("refusedShare", figures.refused() / (double) Math.max(1, figures.asked()));
         all.put("failedShare", figures.failed() / (double) Math.max(1, figures.asked()));
+        all.put("goal", figures.goal());
+        all.put("handshakes", result.each(result.handshakes()));
+        all.put("listLines", result.each(result.listLines()));
+        all.put("waste", result.waste());
+        all.put("prices", HANDSHAKE_PRICE * result.each(result.handshakes()) + LIST_PRICE * result.each(result.listLines())
+                + WASTE_PRICE * result.waste());
         if (!plant.faults().isEmpty()) {
             int from = (int) (plant.faults().stream().mapToLong(Plant.Fault::at).min().orElse(0) / SECOND);
             int end = (int) Math.min(figures.seconds(), (faultsEnd(plant) + SECOND - 1) / SECOND);
--- a/emulator/src/main/java/frostrelay/lab/PlantFile.java
+++ b/emulator/src/main/java/frostrelay/lab/PlantFile.java
@@ -39,7 +39,10 @@
                 .table("plant", new Table("The machines.")
                         .whole("balancers", 3L, 1, 10_000, "Balancers.")
                         .whole("caches", 12L, 1, 100_000, "Caches.")
+                        .whole("zones", 1L, 1, 64, "Machines are dealt out over so many.")
                         .duration("discovery-lateness", "1s", "0ms", "10m", "From a change to its being told.")
+                        .number("discovery-calls", 0.0, 0, 1_000_000, "Calls a second that discovery works through; 0 for any.")
+                        .duration("discovery-patience", "2s", "0ms", "1h", "A call that waits longer for its turn fails.")
                         .duration("balancer-cost", "50us", "0ms", "1s", "CPU of a balancer for each event.")
                         .whole("max-attempts", 4L, 1, 16, "Sends of a request at the most.")
                         .bool("hedges", true, "Whether a second copy may run beside the first."))
@@ -63,7 +66,16 @@
                 .table("network", new Table("Each message.")
                         .duration("delay", "1ms", "0ms", "10s", "One way.")
                         .duration("jitter", "1ms", "0ms", "10s", "Up to so much more.")
+                        .duration("far", "0ms", "0ms", "10s", "On top of that between zones.")
                         .number("loss", 0.0, 0, 1, "Part of the sends to caches that never come."))
+                .table("links", new Table("Connections from balancers to caches, each with one request at a time.")
+                        .bool("modelled", false, "Whether there are any; without, a cache takes everything at once.")
+                        .duration("handshake", "1ms", "0ms", "10s", "That a new one takes beside a round trip.")
+                        .duration("work", "1ms", "0ms", "10s", "Of a cache's core for a new one.")
+                        .duration("timeout", "250ms", "1ms", "1m", "One that is not up by then has failed.")
+                        .duration("idle", "60s", "100ms", "24h", "After which a cache closes an idle one.")
+                        .whole("at-cache", 10_000L, 1, 10_000_000, "That a cache holds.")
+                        .whole("at-balancer", 10_000L, 1, 10_000_000, "That a balancer holds."))
                 .table("clients", new Table("What clients do.")
                         .rate("rate", "300/s", "0.1/s", "10000000/s", "First tries.")
                         .number("swing", 0.0, 0, 0.95, "How far the rate rises and falls, as a part of it.")
@@ -71,10 +83,18 @@
                         .number("drift", 0.0, 0, 1_000_000, "Keys a second that lose their rank to others.")
                         .whole("keys", 2_000L, 1, 10_000_000, "Different keys.")
                         .number("zipf", 0.95, 0.01, 5, "How uneven their popularity is.")
+                        .number("offset", 0.0, 0, 100_000, "Ranks left out at the head: fewer keys are far more popular.")
                         .whole("retries", 2L, 0, 100, "Tries after the first.")
                         .duration("backoff", "200ms", "0ms", "60s", "Mean wait before a further try, doubled each time.")
                         .number("patience", 0.7, 0.05, 1, "A try is given up after so much of the deadline.")
-                        .bool("come-again", true, "Whether they wait as long as a refusal says."))
+                        .bool("come-again", true, "Whether they wait as long as a refusal says.")
+                        .number("skew", 0.0, 0, 3, "Standard deviation of the logarithm of what a balancer is given."))
+                .list("tenant", 1_000, new Table("A tenant; parts add up to 1.")
+                        .number("part", null, 0, 1, "Of all requests."))
+                .list("draw", 64, new Table("A value that each seed of a fleet day draws anew; the file's own counts elsewhere.")
+                        .text("key", null, "Which, as `clients.rate` or `fault[0].part`.")
+                        .text("least", null, "As the file would have it.")
+                        .text("most", null, "Likewise, in the same unit."))
                 .table("kept", new Table("Why a plant is kept as a regression day; for days that a hunt found.")
                         .text("goal", "service >= 0", "The goal that it missed when it was found.")
                         .number("found", 0.0, -1e12, 1e12, "The goal's metric at that time.")
@@ -92,7 +112,7 @@
                         .choice("kind", null, kinds(), "What happens.")
                         .duration("for", "0ms", "0ms", "24h", "After this it is undone; 0ms for never.")
                         .number("part", 1.0, 0, 1, "Of the machines that it meets.")
-                        .number("factor", 3.0, 0.01, 10_000, "How much, for cache-slow, origin-slow and surge."));
+                        .number("factor", 3.0, 0.01, 10_000, "How much; steps, for cache-replace and balancer-wave."));
     }
 
     /** Reads a plant; throws {@link BadConfigException} with all that is wrong. */
@@ -124,6 +144,16 @@
         if (classes.isEmpty() || Math.abs(sum - 1) > SHARES_APART) {
             problems.add(new Problem(file, 0, "class.share", "shares that add up to " + sum, "a sum of 1"));
         }
+        List<Double> tenants = values.list("tenant").stream().map(one -> one.number("part")).toList();
+        double parts = tenants.stream().mapToDouble(Double::doubleValue).sum();
+        if (!tenants.isEmpty() && Math.abs(parts - 1) > SHARES_APART) {
+            problems.add(new Problem(file, 0, "tenant.part", "parts that add up to " + parts, "a sum of 1"));
+        }
+        if (values.table("plant").whole("zones") > Math.min(values.table("plant").whole("balancers"),
+                values.table("plant").whole("caches"))) {
+            problems.add(new Problem(file, values.table("plant").line(), "plant.zones", "a zone without balancers or caches",
+                    "at most as many zones as there are of each"));
+        }
         List<Plant.Fault> faults = new ArrayList<>();
         for (Values one : values.list("fault")) {
             if (one.whole("at") > values.whole("length")) {
@@ -149,18 +179,23 @@
         Values origin = values.table("origin");
         Values network = values.table("network");
         Values clients = values.table("clients");
+        Values links = values.table("links");
         return new Plant(values.whole("seed"), values.whole("settle"), values.whole("length"), (int) plant.whole("balancers"),
-                (int) plant.whole("caches"), new Plant.Cache((int) cache.whole("cores"), (int) cache.whole("queue"),
+                (int) plant.whole("caches"), (int) plant.whole("zones"),
+                new Plant.Cache((int) cache.whole("cores"), (int) cache.whole("queue"),
                 cache.number("crowding"), (int) cache.whole("memory"),
                 Plant.Eviction.valueOf(cache.text("eviction").toUpperCase(Locale.ROOT)), cache.number("cold-from"), cache.whole("warm-within"),
                 cache.bool("coalesce"), cache.bool("filled")), new Plant.Origin((int) origin.whole("places"),
                 origin.whole("time"), (int) origin.whole("queue"), origin.number("fall-multiple"),
                 origin.whole("fall-time")), new Plant.Network(network.whole("delay"), network.whole("jitter"),
-                network.number("loss")), new Plant.Clients(clients.number("rate"),
+                network.whole("far"), network.number("loss")), new Plant.Links(links.bool("modelled"), links.whole("handshake"),
+                links.whole("work"), links.whole("timeout"), links.whole("idle"), (int) links.whole("at-cache"),
+                (int) links.whole("at-balancer")), new Plant.Clients(clients.number("rate"),
                 clients.number("swing"), clients.whole("period"), clients.number("drift"), (int) clients.whole("keys"),
-                clients.number("zipf"), (int) clients.whole("retries"), clients.whole("backoff"),
-                clients.number("patience"), clients.bool("come-again")),
+                clients.number("zipf"), clients.number("offset"), (int) clients.whole("retries"), clients.whole("backoff"),
+                clients.number("patience"), clients.bool("come-again"), clients.number("skew")),
                 new Plant.Balancer(plant.whole("balancer-cost"), (int) plant.whole("max-attempts"),
-                plant.bool("hedges")), plant.whole("discovery-lateness"), classes, faults);
+                plant.bool("hedges")), new Plant.Discovery(plant.whole("discovery-lateness"), plant.number("discovery-calls"),
+                plant.whole("discovery-patience")), tenants, classes, faults);
     }
 }
--- a/emulator/src/test/java/frostrelay/emulator/EmulationTest.java
+++ b/emulator/src/test/java/frostrelay/emulator/EmulationTest.java
@@ -23,10 +23,10 @@
     private static final long SECOND = 1_000 * MS;
 
     private static Plant plant(long seed, List<Fault> faults) {
-        return new Plant(seed, 0, 30 * SECOND, 3, 12, new Plant.Cache(1, 64, 0, 400, Plant.Eviction.LRU, 0.15, 10 * SECOND, false, true),
-                new Plant.Origin(12, 60 * MS, 100, 3, 3 * SECOND), new Plant.Network(MS, MS, 0),
-                new Plant.Clients(300, 0, SECOND, 0, 2_000, 0.95, 2, 200 * MS, 0.7, true),
-                new Plant.Balancer(100_000, 4, true), SECOND, List.of(
+        return new Plant(seed, 0, 30 * SECOND, 3, 12, 1, new Plant.Cache(1, 64, 0, 400, Plant.Eviction.LRU, 0.15, 10 * SECOND, false, true),
+                new Plant.Origin(12, 60 * MS, 100, 3, 3 * SECOND), new Plant.Network(MS, MS, 0, 0), new Plant.Links(false, 0, 0, 1, 1, 1, 1),
+                new Plant.Clients(300, 0, SECOND, 0, 2_000, 0.95, 0, 2, 200 * MS, 0.7, true, 0),
+                new Plant.Balancer(100_000, 4, true), new Plant.Discovery(SECOND, 0, 0), List.of(), List.of(
                 new Plant.Load(0.95, 15 * MS, Plant.Spread.EXPONENTIAL, 300 * MS, 1_500 * MS, 1, Api.Effect.RETRYABLE),
                 new Plant.Load(0.05, 20 * MS, Plant.Spread.FIXED, 600 * MS, 2_500 * MS, 3, Api.Effect.FRAGILE)), faults);
     }
--- a/emulator/src/test/java/frostrelay/lab/LabTest.java
+++ b/emulator/src/test/java/frostrelay/lab/LabTest.java
@@ -12,7 +12,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -132,6 +134,21 @@
     }
 
     /** A stop rule that is met at once plays no more than its least; one that cannot be met plays all. */
+    /** Values lie within their range, differ from seed to seed and not for one seed; what has two units is refused. */
+    @Test
+    void whatIsDrawnIsDrawnForEachSeed() throws IOException {
+        String draw = "[[draw]]\nkey = \"clients.rate\"\nleast = \"100/s\"\nmost = \"%s\"\n";
+        Path path = folder.resolve("drawn.toml");
+        Files.writeString(path, SMALL + String.format(draw, "200/s"));
+        Experiment.Point point = ExperimentFile.ofPlants(List.of(path), 2).points().get(0);
+        double[] rates = LongStream.range(1, 50).mapToDouble(seed -> point.draws().apply(seed).clients().rate()).toArray();
+        assertTrue(Arrays.stream(rates).allMatch(rate -> rate >= 100 && rate <= 200)
+                && Arrays.stream(rates).distinct().count() > 25, Arrays.toString(rates));
+        assertEquals(point.draws().apply(9), point.draws().apply(9));
+        Files.writeString(path, SMALL + String.format(draw, "2000ms"));
+        assertThrows(BadConfigException.class, () -> ExperimentFile.ofPlants(List.of(path), 2));
+    }
+
     @Test
     void aStopRuleEndsAPoint() throws Exception {
         for (double half : new double[] {1, 1e-9}) {
--- a/report/src/main/java/frostrelay/report/Page.java
+++ b/report/src/main/java/frostrelay/report/Page.java
@@ -233,11 +233,15 @@
         body.append(image(Charts.lines("What tries make of it", "a second", some(course, "tries", "copies", "fetches"),
                 bands, false), "copies and fetches"));
         if (!day.load().isEmpty()) {
-            body.append(image(load(day.load()), "load"));
+            body.append(image(rows("Load of each cache (part of its cores)", "cache", day.load()), "load"));
+        }
+        if (day.unserved().size() > 1) {
+            body.append(image(rows("Tries not served, by balancer (part of what came)", "balancer", day.unserved()),
+                    "unserved"));
         }
     }
 
-    private static String load(List<List<Double>> load) {
+    private static String rows(String title, String what, List<List<Double>> load) {
         int seconds = load.get(0).size();
         int step = (seconds + MOST_COLUMNS - 1) / MOST_COLUMNS;
         int columns = (seconds + step - 1) / step;
@@ -248,7 +252,7 @@
                         .mapToDouble(Double::doubleValue).average().orElse(0);
             }
         }
-        return Charts.heat("Load of each cache (part of its cores)", "seconds", "cache",
+        return Charts.heat(title, "seconds", what,
                 IntStream.range(0, columns).mapToObj(column -> String.valueOf(column * step)).toList(),
                 IntStream.range(0, load.size()).mapToObj(String::valueOf).toList(), cells, 0, 1);
     }
