--- a/policy/src/main/java/frostrelay/policy/Candidates.java
+++ b/policy/src/main/java/frostrelay/policy/Candidates.java
@@ -17,12 +17,15 @@
     private static final int WINDOW = 256;
     private static final long WINDOW_NS = 5_000_000_000L;
     private static final int LEAST = 16;
+    private static final long MEETS = 3 << 8;
     private static final double UNIT = 1.0 / (1L << 53);
 
     final Host[] top = new Host[MOST + SPARE];
     int count;
     /** How many of {@link #top} are candidates; the rest are spare. */
     int width;
+    /** Whether the key is one of those by which hosts without a connection are met. */
+    private boolean meets;
     private final double[] distance = new double[MOST + SPARE];
     private final long[] keys = new long[SLOTS];
     private final int[] counts = new int[SLOTS];
@@ -37,6 +40,7 @@
     /** Fills {@link #top} with the usable hosts of least -ln(1 - hash) / weight, near ones made heavier. */
     void find(long now, long key, double nearness) {
         width = width(key);
+        meets = (mix(key) & MEETS) == 0;
         int depth = width + SPARE;
         count = 0;
         double worst = Double.MAX_VALUE;
@@ -98,19 +102,28 @@
         return (int) Math.max(ORDINARY, Math.min(MOST, Math.ceil(share * health.cacheCount * ROOM)));
     }
 
-    /** The candidate with the fewest of our requests in flight; among equals the nearest if not slow. */
+    /** The candidate with the fewest of our requests in flight; among equals the nearest if not worse. */
     Host leastInFlight() {
-        // With many balancers most counts are 0 and tell nothing: then latency does.
         Host best = null;
         for (int i = 0; i < count && i < width; i++) {
-            if (best == null || top[i].inFlight < best.inFlight
-                    || top[i].inFlight == best.inFlight && best.latency > SLOWER * top[i].latency) {
-                best = top[i];
-            }
+            best = best == null || isBetter(top[i], best) ? top[i] : best;
         }
         return best;
     }
 
+    /**
+     * With many balancers most counts are 0 and tell nothing. Then a free connection does, which saves a
+     * handshake and shows that the host answered last, but for some keys: guards against newcomers that
+     * nobody meets. Else latency does.
+     */
+    private boolean isBetter(Host one, Host other) {
+        if (one.inFlight != other.inFlight) {
+            return one.inFlight < other.inFlight;
+        }
+        boolean linked = one.isLinked();
+        return linked != other.isLinked() && !meets ? linked : other.latency > SLOWER * one.latency;
+    }
+
     private static int slot(long key) {
         return (int) (mix(key) & (SLOTS - 1));
     }
--- a/policy/src/main/java/frostrelay/policy/HostHealth.java
+++ b/policy/src/main/java/frostrelay/policy/HostHealth.java
@@ -37,6 +37,8 @@
         State state = State.GONE;
         long startedAt;
         int inFlight;
+        /** Connections to it that should be free. */
+        int idle;
         /** Mean time of its answers lately. */
         double latency;
         /** Start of the slow start, 0 if warm. */
@@ -59,6 +61,11 @@
             this.id = id;
             this.salt = Candidates.mix(id + 0x9e3779b97f4a7c15L);
         }
+
+        /** Whether it can be asked without a handshake, or is to be tried again. */
+        boolean isLinked() {
+            return idle > 0 || openUntil != 0;
+        }
     }
 
     Host[] caches = {};
@@ -102,9 +109,7 @@
             return;
         }
         if (mode != ListMode.DELTA) {
-            for (Host host : known.values()) {
-                host.state = State.GONE;
-            }
+            known.values().forEach(host -> host.state = State.GONE);
         }
         for (Server server : servers) {
             Host host = known.computeIfAbsent(server.id(), Host::new);
@@ -117,6 +122,7 @@
             host.inverseWeight = 1 / host.weight;
             host.state = server.state();
             host.startedAt = server.startedAt();
+            host.idle = restarted || host.state != State.READY ? 0 : host.idle;
             if (restarted && now - host.startedAt < settings.warmWithin()) {
                 host.coldSince = host.startedAt;
                 host.tokens = nextUnit();
@@ -129,12 +135,8 @@
 
     /** A held host counts as draining until it is let go, whatever the list says of it meanwhile. */
     void onHolds(long now, Set<Long> servers) {
-        for (Host host : known.values()) {
-            Long since = servers.contains(host.id) ? null : held.get(host.id);
-            if (since != null) {
-                release(now, host, since);
-            }
-        }
+        known.values().stream().filter(host -> held.containsKey(host.id) && !servers.contains(host.id))
+                .forEach(host -> release(now, host, held.get(host.id)));
         held.keySet().retainAll(servers);
         servers.forEach(id -> held.putIfAbsent(id, now));
         rebuild();
@@ -243,6 +245,7 @@
 
     void onSend(long now, Host host) {
         host.inFlight++;
+        host.idle = Math.max(0, host.idle - 1);
         host.tokens -= host.coldSince != 0 ? 1 : 0;
         host.trial |= host.openUntil != 0;
     }
@@ -254,8 +257,10 @@
      */
     void onEnd(long now, Host host, Reason reason, long took, boolean suspect) {
         host.inFlight--;
+        boolean kept = reason.answered() || reason == Reason.ERROR || reason == Reason.REJECTED;
         boolean failed = suspect || reason == Reason.ERROR || reason == Reason.RESET
                 || reason == Reason.TIMEOUT;
+        host.idle = kept ? host.idle + 1 : failed || reason == Reason.CONNECT_FAILED ? 0 : host.idle;
         connectFailures += FAILING_WEIGHT * ((reason == Reason.CONNECT_FAILED ? 1 : 0) - connectFailures);
         if (reason.answered() || reason == Reason.TIMEOUT) {
             host.latency += (host.latency == 0 ? 1 : LATENCY_WEIGHT) * (took - host.latency);
