--- a/report/src/test/java/frostrelay/report/PageTest.java
+++ b/report/src/test/java/frostrelay/report/PageTest.java
@@ -71,7 +71,7 @@
     @Test
     void aPlantsDayIsDrawnWithItsFaultsAndNothingIsFetched() throws Exception {
         String html = new Page(held("a<b>&c.toml", null)).html();
-        assertEquals(List.of("ends", "latency", "hit share", "copies and fetches", "load"), images(html));
+        assertEquals(List.of("ends", "latency", "hit share", "copies and fetches", "load", "unserved"), images(html));
         assertTrue(html.contains("a&lt;b&gt;&amp;c") && !html.contains("a<b>"), "names are text, not markup");
         assertTrue(html.contains("at 4.0 s the origin carries nothing out, for 2.0 s"));
         assertFalse(html.replaceAll("base64,[^\"]+", "").matches("(?s).*(https?:|<script|<link).*"));
