--- a/emulator/src/main/java/frostrelay/emulator/Emulation.java
+++ b/emulator/src/main/java/frostrelay/emulator/Emulation.java
@@ -84,7 +84,7 @@
         Long2LongHashMap places = new Long2LongHashMap(-1);
         int mostLinks = plant.links().modelled() ? plant.links().atCache() : Integer.MAX_VALUE;
         for (int i = 0; i < all; i++) {
-            SimCache cache = new SimCache(plant.cache(), mostLinks, timeline, origin, versions,
+            SimCache cache = new SimCache(plant.cache(), i, mostLinks, timeline, origin, versions,
                     new ColdGuard(referee, plant.cache(), plant.meanWork()));
             caches.add(cache);
             places.put(SimDiscovery.id(i), i);
--- a/emulator/src/main/java/frostrelay/emulator/Plant.java
+++ b/emulator/src/main/java/frostrelay/emulator/Plant.java
@@ -106,7 +106,8 @@
      * requests; DISCOVERY_LATE, DISCOVERY_SHORT: lateness times, or calls a second divided by, {@code factor};
      * CLIENTS_EAGER: they come again at once, {@code factor} times as often; CLIENTS_HASTY: they give up that much earlier;
      * ZONE_SHIFT: that part of all clients comes to one zone; TENANT_SURGE: the first tenant asks that much more; HOLD:
-     * operators hold caches and restart them meanwhile; CACHE_FAILING: that part of caches fails half of its reads.
+     * operators hold caches and restart them meanwhile; CACHE_FAILING: that part of caches fails nine of ten
+     * requests.
      */
     public enum Kind { CACHE_KILL, CACHE_RESTART, CACHE_SLOW, CACHE_SILENT, CACHE_DRAIN, PARTITION, ORIGIN_OUTAGE,
         ORIGIN_SLOW, DISCOVERY_OUTAGE, WRONG_ENTRIES, BALANCER_RESTART, SURGE, COPIES_RELEASED, CACHE_REPLACE, CACHE_FAILING,
--- a/emulator/src/main/java/frostrelay/emulator/SimBalancer.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimBalancer.java
@@ -80,6 +80,7 @@
         boolean first;
         /** It is on its way: it may run. */
         boolean written;
+        boolean told = true;
 
         Attempt(Exchange exchange, int number, long sentAt) {
             this.exchange = exchange;
@@ -102,6 +103,11 @@
             return exchange.caller.write();
         }
 
+        @Override
+        public boolean told() {
+            return told;
+        }
+
         @Override
         public boolean dropped() {
             return over || mine != life;
@@ -448,6 +454,7 @@
             return;
         }
         SimCache cache = addresses.get(attempt.place);
+        attempt.told = cache.place() == attempt.place;
         boolean reset = wire.resets();
         timeline.at(at + wire.delay(zone, zone(attempt.place)), then -> {
             if (reset) {
--- a/emulator/src/main/java/frostrelay/emulator/SimCache.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimCache.java
@@ -23,6 +23,9 @@
         /** Whether nobody waits any more: waiting work is dropped then. */
         boolean dropped();
 
+        /** Whether who sent it has been told of the cache: it may think that another one is there. */
+        boolean told();
+
         void ended(long now, End end);
 
         /** It took effect. */
@@ -63,6 +66,7 @@
     private static final int GOLDEN = 0x9E3779B9;
 
     private final Plant.Cache spec;
+    private final int place;
     private final int mostLinks;
     private final Timeline timeline;
     private final SimOrigin origin;
@@ -85,16 +89,17 @@
     private long worked;
     /** Takes what comes and answers nothing. */
     private boolean silent;
-    /** The part of reads that fails for a cause of its own. */
+    /** The part of requests that fails for a cause of its own. */
     private double failing;
     private int links;
     private long wasted;
     private int failures;
 
     /** {@code mostLinks}: connections that it holds. */
-    SimCache(Plant.Cache spec, int mostLinks, Timeline timeline, SimOrigin origin, int[] versions, ColdGuard guard) {
+    SimCache(Plant.Cache spec, int place, int mostLinks, Timeline timeline, SimOrigin origin, int[] versions, ColdGuard guard) {
         this.guard = guard;
         this.spec = spec;
+        this.place = place;
         this.mostLinks = mostLinks;
         this.timeline = timeline;
         this.origin = origin;
@@ -115,7 +120,7 @@
             job.ended(now, End.REFUSED);
             return;
         }
-        if (now - startedAt < spec.warmWithin()) {
+        if (now - startedAt < spec.warmWithin() && job.told()) {
             guard.arrived(now, speed(now) * slow);
         }
         Visit visit = new Visit(job);
@@ -167,16 +172,16 @@
     private void worked(long now, Visit visit, long time) {
         Job job = visit.job;
         wasted += job.dropped() ? time : 0;
+        if (failing > 0 && (++failures * GOLDEN >>> 1) < failing * Integer.MAX_VALUE) {
+            end(now, visit, End.FAILED);
+            return;
+        }
         if (job.write()) {
             job.ran(now);
             versions[job.key()]++;
             call(now, good -> { }, List.of(visit));
             return;
         }
-        if (failing > 0 && (++failures * GOLDEN >>> 1) < failing * Integer.MAX_VALUE) {
-            end(now, visit, End.FAILED);
-            return;
-        }
         if (memory.has(job.key(), versions[job.key()])) {
             hits++;
             end(now, visit, End.HIT);
@@ -253,7 +258,7 @@
         silent = on;
     }
 
-    /** Fails this part of its reads from now on. */
+    /** Fails this part of its requests from now on. */
     void failing(double part) {
         failing = part;
     }
@@ -280,6 +285,11 @@
         return life;
     }
 
+    /** Where it is listed. */
+    int place() {
+        return place;
+    }
+
     /** Connections that it holds. */
     int links() {
         return links;
--- a/emulator/src/main/java/frostrelay/emulator/SimFaults.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimFaults.java
@@ -14,7 +14,8 @@
     private static final long DRAIN = 2_000_000_000L;
     /** The part of newcomers that take over the address of one that is gone. */
     private static final int REUSED = 3;
-    private static final double HALF = 0.5;
+    /** The part of its reads that a failing cache fails. */
+    private static final double MOST = 0.9;
 
     private final Plant plant;
     private final Timeline timeline;
@@ -174,7 +175,7 @@
         switch (fault.kind()) {
             case CACHE_SLOW -> cache.slow(on ? fault.factor() : 1);
             case CACHE_SILENT -> cache.silent(on);
-            case CACHE_FAILING -> cache.failing(on ? HALF : 0);
+            case CACHE_FAILING -> cache.failing(on ? MOST : 0);
             case WRONG_ENTRIES -> discovery.slander(now, place, on);
             // Half of the balancers lose sight of these caches: the two sides see different plants.
             case PARTITION -> balancers.subList(0, (balancers.size() + 1) / 2).forEach(one -> one.cutOff(place, on));
--- a/emulator/src/main/java/frostrelay/lab/FaultWords.java
+++ b/emulator/src/main/java/frostrelay/lab/FaultWords.java
@@ -34,7 +34,7 @@
             case SURGE -> "clients ask " + times + " as much";
             case COPIES_RELEASED -> part + " the caches lose all they keep";
             case CACHE_REPLACE -> part + " the caches are replaced in " + fault.steps() + " steps";
-            case CACHE_FAILING -> part + " the caches fail half of their reads";
+            case CACHE_FAILING -> part + " the caches fail nine of ten requests";
             case BALANCER_WAVE -> part + " the balancers are restarted in " + fault.steps() + " steps";
             case ZONE_LOST -> "a zone is lost (without zones " + part + " the caches) and comes back cold";
             case ZONE_CUT -> "a zone is cut off from the others";
