--- a/policy/src/main/java/frostrelay/policy/Candidates.java
+++ b/policy/src/main/java/frostrelay/policy/Candidates.java
@@ -1,6 +1,7 @@
 package frostrelay.policy;
 
 import frostrelay.policy.HostHealth.Host;
+import java.util.Arrays;
 
 /** Weighted rendezvous hashing: the few hosts that a key lives on. */
 final class Candidates {
@@ -17,14 +18,13 @@
     private static final int WINDOW = 256;
     private static final long WINDOW_NS = 5_000_000_000L;
     private static final int LEAST = 16;
-    private static final long MEETS = 3 << 8;
     private static final double UNIT = 1.0 / (1L << 53);
 
     final Host[] top = new Host[MOST + SPARE];
     int count;
     /** How many of {@link #top} are candidates; the rest are spare. */
     int width;
-    /** Whether the key is one of those by which hosts without a connection are met. */
+    /** Whether the key is one of those by which hosts that failed are met again. */
     private boolean meets;
     private final double[] distance = new double[MOST + SPARE];
     private final long[] keys = new long[SLOTS];
@@ -40,7 +40,7 @@
     /** Fills {@link #top} with the usable hosts of least -ln(1 - hash) / weight, near ones made heavier. */
     void find(long now, long key, double nearness) {
         width = width(key);
-        meets = (mix(key) & MEETS) == 0;
+        meets = (mix(key) & 0x700) == 0;
         int depth = width + SPARE;
         count = 0;
         double worst = Double.MAX_VALUE;
@@ -86,9 +86,7 @@
         if (++counted >= WINDOW || now - halved > WINDOW_NS && counted > LEAST) {
             halved = now;
             counted /= 2;
-            for (int i = 0; i < SLOTS; i++) {
-                counts[i] /= 2;
-            }
+            Arrays.setAll(counts, i -> counts[i] / 2);
         }
     }
 
@@ -112,16 +110,15 @@
     }
 
     /**
-     * With many balancers most counts are 0 and tell nothing. Then a free connection does, which saves a
-     * handshake and shows that the host answered last, but for some keys: guards against newcomers that
-     * nobody meets. Else latency does.
+     * With many balancers most counts are 0 and tell nothing, and breakers stay closed: a host is met a few
+     * times a minute. Then its last answer does, but for some keys, by which it is met again; else latency.
      */
     private boolean isBetter(Host one, Host other) {
         if (one.inFlight != other.inFlight) {
             return one.inFlight < other.inFlight;
         }
-        boolean linked = one.isLinked();
-        return linked != other.isLinked() && !meets ? linked : other.latency > SLOWER * one.latency;
+        boolean well = one.isWell();
+        return well != other.isWell() && !meets ? well : other.latency > SLOWER * one.latency;
     }
 
     private static int slot(long key) {
--- a/policy/src/main/java/frostrelay/policy/HostHealth.java
+++ b/policy/src/main/java/frostrelay/policy/HostHealth.java
@@ -37,8 +37,8 @@
         State state = State.GONE;
         long startedAt;
         int inFlight;
-        /** Connections to it that should be free. */
-        int idle;
+        /** Sends in a row that came to nothing through it. */
+        int failures;
         /** Mean time of its answers lately. */
         double latency;
         /** Start of the slow start, 0 if warm. */
@@ -62,9 +62,9 @@
             this.salt = Candidates.mix(id + 0x9e3779b97f4a7c15L);
         }
 
-        /** Whether it can be asked without a handshake, or is to be tried again. */
-        boolean isLinked() {
-            return idle > 0 || openUntil != 0;
+        /** Whether its last answer was one, or it is to be tried again. */
+        boolean isWell() {
+            return failures == 0 || openUntil != 0;
         }
     }
 
@@ -122,7 +122,6 @@
             host.inverseWeight = 1 / host.weight;
             host.state = server.state();
             host.startedAt = server.startedAt();
-            host.idle = restarted || host.state != State.READY ? 0 : host.idle;
             if (restarted && now - host.startedAt < settings.warmWithin()) {
                 host.coldSince = host.startedAt;
                 host.tokens = nextUnit();
@@ -245,7 +244,6 @@
 
     void onSend(long now, Host host) {
         host.inFlight++;
-        host.idle = Math.max(0, host.idle - 1);
         host.tokens -= host.coldSince != 0 ? 1 : 0;
         host.trial |= host.openUntil != 0;
     }
@@ -257,10 +255,9 @@
      */
     void onEnd(long now, Host host, Reason reason, long took, boolean suspect) {
         host.inFlight--;
-        boolean kept = reason.answered() || reason == Reason.ERROR || reason == Reason.REJECTED;
         boolean failed = suspect || reason == Reason.ERROR || reason == Reason.RESET
                 || reason == Reason.TIMEOUT;
-        host.idle = kept ? host.idle + 1 : failed || reason == Reason.CONNECT_FAILED ? 0 : host.idle;
+        host.failures += failed || reason == Reason.CONNECT_FAILED ? 1 : 0;
         connectFailures += FAILING_WEIGHT * ((reason == Reason.CONNECT_FAILED ? 1 : 0) - connectFailures);
         if (reason.answered() || reason == Reason.TIMEOUT) {
             host.latency += (host.latency == 0 ? 1 : LATENCY_WEIGHT) * (took - host.latency);
@@ -297,6 +294,7 @@
     }
 
     private static void close(Host host) {
+        host.failures = 0;
         host.evidence = 0;
         host.openUntil = 0;
     }
--- a/policy/src/main/java/frostrelay/policy/Router.java
+++ b/policy/src/main/java/frostrelay/policy/Router.java
@@ -461,8 +461,10 @@
         }
         if (now < flight.usefulUntil && flight.sent < mostAttempts(flight) && reason != Reason.MOOT) {
             Host host = next(now, flight, reason);
-            if (host != null && maySend(now, flight, host)
-                    && (reason == Reason.MISS || broken && settings.budget() == null || hedging.spend(now))) {
+            // A send that reached nobody cost nobody anything: the first one after it is no load.
+            boolean lost = broken || reason == Reason.CONNECT_FAILED && flight.sent == 1;
+            if (host != null && maySend(now, flight, host) && (reason == Reason.MISS
+                    || lost && settings.budget() == null || hedging.spend(now))) {
                 send(now, flight, host);
                 return;
             }
