--- a/policy/src/main/java/frostrelay/policy/Admission.java
+++ b/policy/src/main/java/frostrelay/policy/Admission.java
@@ -7,13 +7,9 @@
 final class Admission {
     /** Requests of a tenant's allowance that may be saved up; fewer would take chance for excess. */
     private static final double BURST = 20;
-    /**
-     * What a sign does to the share admitted: more for a balancer that sees few, but not while nothing is
-     * shed: guards against shedding by chance, as a balancer with seven signs a second did in every trouble.
-     */
+    /** What a sign does to the share admitted: more for a balancer that sees few, within these limits. */
     private static final double LEAST_STEP = 0.02;
     private static final double MOST_STEP = 0.15;
-    private static final double CALM_STEP = 0.05;
     private static final long STEP_NS = 1_000_000_000L;
     /** Part of the aim after which a request that is still out is a sign of overload. */
     private static final double SLOW = 0.45;
@@ -69,8 +65,7 @@
      * cause, as servers that slow down when crowded make them. Harm: work that is slow by nature is shed.
      */
     void load(long now, double sign) {
-        double most = overloaded() ? MOST_STEP : CALM_STEP;
-        double step = Math.max(LEAST_STEP, Math.min(most, (double) (now - loadAt) / STEP_NS));
+        double step = Math.max(LEAST_STEP, Math.min(MOST_STEP, (double) (now - loadAt) / STEP_NS));
         loadAt = now;
         admitted = Math.max(LEAST_ADMITTED, Math.min(1, admitted * Math.exp(sign * step)));
     }
--- a/policy/src/main/java/frostrelay/policy/Candidates.java
+++ b/policy/src/main/java/frostrelay/policy/Candidates.java
@@ -1,7 +1,6 @@
 package frostrelay.policy;
 
 import frostrelay.policy.HostHealth.Host;
-import java.util.Arrays;
 
 /** Weighted rendezvous hashing: the few hosts that a key lives on. */
 final class Candidates {
@@ -24,8 +23,6 @@
     int count;
     /** How many of {@link #top} are candidates; the rest are spare. */
     int width;
-    /** Whether the key is one of those by which hosts that failed are met again. */
-    private boolean meets;
     private final double[] distance = new double[MOST + SPARE];
     private final long[] keys = new long[SLOTS];
     private final int[] counts = new int[SLOTS];
@@ -40,7 +37,6 @@
     /** Fills {@link #top} with the usable hosts of least -ln(1 - hash) / weight, near ones made heavier. */
     void find(long now, long key, double nearness) {
         width = width(key);
-        meets = (mix(key) & 0x700) == 0;
         int depth = width + SPARE;
         count = 0;
         double worst = Double.MAX_VALUE;
@@ -86,7 +82,9 @@
         if (++counted >= WINDOW || now - halved > WINDOW_NS && counted > LEAST) {
             halved = now;
             counted /= 2;
-            Arrays.setAll(counts, i -> counts[i] / 2);
+            for (int i = 0; i < SLOTS; i++) {
+                counts[i] /= 2;
+            }
         }
     }
 
@@ -100,27 +98,19 @@
         return (int) Math.max(ORDINARY, Math.min(MOST, Math.ceil(share * health.cacheCount * ROOM)));
     }
 
-    /** The candidate with the fewest of our requests in flight; among equals the nearest if not worse. */
+    /** The candidate with the fewest of our requests in flight; among equals the nearest if not slow. */
     Host leastInFlight() {
+        // With many balancers most counts are 0 and tell nothing: then latency does.
         Host best = null;
         for (int i = 0; i < count && i < width; i++) {
-            best = best == null || isBetter(top[i], best) ? top[i] : best;
+            if (best == null || top[i].inFlight < best.inFlight
+                    || top[i].inFlight == best.inFlight && best.latency > SLOWER * top[i].latency) {
+                best = top[i];
+            }
         }
         return best;
     }
 
-    /**
-     * With many balancers most counts are 0 and tell nothing, and breakers stay closed: a host is met a few
-     * times a minute. Then its last answer does, but for some keys, by which it is met again; else latency.
-     */
-    private boolean isBetter(Host one, Host other) {
-        if (one.inFlight != other.inFlight) {
-            return one.inFlight < other.inFlight;
-        }
-        boolean well = one.isWell();
-        return well != other.isWell() && !meets ? well : other.latency > SLOWER * one.latency;
-    }
-
     private static int slot(long key) {
         return (int) (mix(key) & (SLOTS - 1));
     }
--- a/policy/src/main/java/frostrelay/policy/Fills.java
+++ b/policy/src/main/java/frostrelay/policy/Fills.java
@@ -18,8 +18,8 @@
     private static final int KEYS = 4096;
     private static final long KEPT_NS = 30_000_000_000L;
     /**
-     * A host's failures count once in this time, the first in a row alone, and beside another host's: guards
-     * against some that fail for causes of their own. The origin's failures show at many hosts.
+     * A host's failures count once in this time, and only beside another host's: guards against one that
+     * fails for a cause of its own, whose failures had writes turned away. The origin's show at many hosts.
      */
     private static final long AGAIN_NS = 1_000_000_000L;
     /** Reads before the keys of a new process tell anything: it knows none, and caches hold most. */
@@ -61,7 +61,7 @@
      */
     void readEnded(long now, long key, Host host, boolean failed, Source source, boolean late) {
         reads = Math.min(LEARNT, reads + 1);
-        if (failed && host.failures <= 1 && now - host.fillFailedAt >= AGAIN_NS) {
+        if (failed && now - host.fillFailedAt >= AGAIN_NS) {
             if (lastFailed != host && now - lastFailed.fillFailedAt < AGAIN_NS) {
                 ended(FAILED);
             }
--- a/policy/src/main/java/frostrelay/policy/Hedging.java
+++ b/policy/src/main/java/frostrelay/policy/Hedging.java
@@ -22,11 +22,15 @@
     private int samples;
     private long quantile;
     /** The sixth rule, with the times of requests taken and of further attempts. */
-    private Budget budget = OWN_BUDGET;
+    private Budget budget;
     private final Deque<Long> taken = new ArrayDeque<>();
     private final Deque<Long> further = new ArrayDeque<>();
 
-    void onSettings(Budget fresh) {
+    Hedging(Budget budget) {
+        onSettings(budget);
+    }
+
+    final void onSettings(Budget fresh) {
         budget = fresh != null ? fresh : OWN_BUDGET;
     }
 
--- a/policy/src/main/java/frostrelay/policy/HostHealth.java
+++ b/policy/src/main/java/frostrelay/policy/HostHealth.java
@@ -37,8 +37,6 @@
         State state = State.GONE;
         long startedAt;
         int inFlight;
-        /** Sends in a row that came to nothing through it. */
-        int failures;
         /** Mean time of its answers lately. */
         double latency;
         /** Start of the slow start, 0 if warm. */
@@ -61,11 +59,6 @@
             this.id = id;
             this.salt = Candidates.mix(id + 0x9e3779b97f4a7c15L);
         }
-
-        /** Whether its last answer was one, or it is to be tried again. */
-        boolean isWell() {
-            return failures == 0 || openUntil != 0;
-        }
     }
 
     Host[] caches = {};
@@ -109,7 +102,9 @@
             return;
         }
         if (mode != ListMode.DELTA) {
-            known.values().forEach(host -> host.state = State.GONE);
+            for (Host host : known.values()) {
+                host.state = State.GONE;
+            }
         }
         for (Server server : servers) {
             Host host = known.computeIfAbsent(server.id(), Host::new);
@@ -134,8 +129,12 @@
 
     /** A held host counts as draining until it is let go, whatever the list says of it meanwhile. */
     void onHolds(long now, Set<Long> servers) {
-        known.values().stream().filter(host -> held.containsKey(host.id) && !servers.contains(host.id))
-                .forEach(host -> release(now, host, held.get(host.id)));
+        for (Host host : known.values()) {
+            Long since = servers.contains(host.id) ? null : held.get(host.id);
+            if (since != null) {
+                release(now, host, since);
+            }
+        }
         held.keySet().retainAll(servers);
         servers.forEach(id -> held.putIfAbsent(id, now));
         rebuild();
@@ -257,7 +256,6 @@
         host.inFlight--;
         boolean failed = suspect || reason == Reason.ERROR || reason == Reason.RESET
                 || reason == Reason.TIMEOUT;
-        host.failures += failed || reason == Reason.CONNECT_FAILED ? 1 : 0;
         connectFailures += FAILING_WEIGHT * ((reason == Reason.CONNECT_FAILED ? 1 : 0) - connectFailures);
         if (reason.answered() || reason == Reason.TIMEOUT) {
             host.latency += (host.latency == 0 ? 1 : LATENCY_WEIGHT) * (took - host.latency);
@@ -294,7 +292,6 @@
     }
 
     private static void close(Host host) {
-        host.failures = 0;
         host.evidence = 0;
         host.openUntil = 0;
     }
--- a/policy/src/main/java/frostrelay/policy/KeyOrder.java
+++ b/policy/src/main/java/frostrelay/policy/KeyOrder.java
@@ -17,6 +17,10 @@
     private long quiet;
     private int entered;
 
+    KeyOrder(long quiet) {
+        this.quiet = quiet;
+    }
+
     void onSettings(long fresh) {
         quiet = fresh;
     }
--- a/policy/src/main/java/frostrelay/policy/Router.java
+++ b/policy/src/main/java/frostrelay/policy/Router.java
@@ -86,11 +86,11 @@
     private final Actions actions;
     private final HostHealth health;
     private final Candidates candidates;
-    private final Hedging hedging = new Hedging();
+    private final Hedging hedging;
     private final Admission admission;
     private final Fills fills = new Fills();
     private final Map<Long, Flight> flights = new HashMap<>();
-    private final KeyOrder<Flight> order = new KeyOrder<>();
+    private final KeyOrder<Flight> order;
     private final PriorityQueue<Alarm> alarms = new PriorityQueue<>(
             Comparator.comparingLong(Alarm::at).thenComparingLong(alarm -> alarm.flight.request.id()));
     private int mostAttempts;
@@ -111,13 +111,13 @@
         this.health = new HostHealth(settings, seed);
         this.candidates = new Candidates(health);
         this.admission = new Admission(settings);
+        this.hedging = new Hedging(settings.budget());
+        this.order = new KeyOrder<>(settings.keyQuiet());
         take(settings);
     }
 
     private void take(Settings fresh) {
         settings = fresh;
-        hedging.onSettings(fresh.budget());
-        order.onSettings(fresh.keyQuiet());
         mostLate = (long) (LATE * fresh.classes().stream().mapToLong(admission::slowAfter).min().orElse(0));
         mostAttempts = Math.max(1, Math.min(UP_TO, fresh.maxAttempts()));
     }
@@ -131,6 +131,8 @@
         take(fresh);
         health.onSettings(fresh);
         admission.onSettings(fresh);
+        hedging.onSettings(fresh.budget());
+        order.onSettings(fresh.keyQuiet());
     }
 
     @Override
@@ -244,7 +246,13 @@
     }
 
     private Host origin() {
-        return health.origins.stream().min(Comparator.comparingInt(host -> host.inFlight)).orElse(null);
+        Host best = null;
+        for (Host host : health.origins) {
+            if (best == null || host.inFlight < best.inFlight) {
+                best = host;
+            }
+        }
+        return best;
     }
 
     private boolean originQuick(Flight flight) {
@@ -328,7 +336,8 @@
     }
 
     private void hedge(long now, Flight flight) {
-        if (flight.streaming || flight.missed || flight.pending != 1 || flight.sent >= mostAttempts(flight)) {
+        if (flight.streaming || flight.missed || flight.pending != 1
+                || flight.sent >= mostAttempts(flight)) {
             return;
         }
         search(now, flight);
@@ -344,9 +353,13 @@
     }
 
     private Host untried(Flight flight, int width) {
-        return Arrays.stream(candidates.top, 0, Math.min(candidates.count, width))
-                .filter(host -> Arrays.stream(flight.attempts, 0, flight.sent).noneMatch(a -> a.host == host))
-                .findFirst().orElse(null);
+        for (int i = 0; i < candidates.count && i < width; i++) {
+            Host host = candidates.top[i];
+            if (Arrays.stream(flight.attempts, 0, flight.sent).noneMatch(a -> a.host == host)) {
+                return host;
+            }
+        }
+        return null;
     }
 
     @Override
@@ -461,10 +474,8 @@
         }
         if (now < flight.usefulUntil && flight.sent < mostAttempts(flight) && reason != Reason.MOOT) {
             Host host = next(now, flight, reason);
-            // A send that reached nobody cost nobody anything: the first one after it is no load.
-            boolean lost = broken || reason == Reason.CONNECT_FAILED && flight.sent == 1;
-            if (host != null && maySend(now, flight, host) && (reason == Reason.MISS
-                    || lost && settings.budget() == null || hedging.spend(now))) {
+            if (host != null && maySend(now, flight, host)
+                    && (reason == Reason.MISS || broken && settings.budget() == null || hedging.spend(now))) {
                 send(now, flight, host);
                 return;
             }
