Keep the address list where it is used, and say what two fields of the faults hold

Read over the whole change: the emulation kept a field that its constructor alone uses, the faults' comments on newcomers and their next place were wrong, discovery had an import left over.

--- a/emulator/src/main/java/frostrelay/emulator/Emulation.java
+++ b/emulator/src/main/java/frostrelay/emulator/Emulation.java
@@ -67,8 +67,6 @@
     private final SimOrigin origin;
     private final SimDiscovery discovery;
     private final List<SimCache> caches = new ArrayList<>();
-    /** What answers at each cache's address: another one may have taken it over. */
-    private final List<SimCache> addresses;
     private final List<SimBalancer> balancers = new ArrayList<>();
     private final SimClients clients;
     private final SimFaults faults;
@@ -96,7 +94,8 @@
                 }
             }
         }
-        addresses = new ArrayList<>(caches);
+        // What answers at each cache's address: another one may take it over.
+        List<SimCache> addresses = new ArrayList<>(caches);
         for (int i = 0; i < plant.balancers(); i++) {
             balancers.add(new SimBalancer(plant, timeline, wire, discovery, addresses, places, module,
                     settings(plant, i), referee, plant.seed() * 31 + i));
--- a/emulator/src/main/java/frostrelay/emulator/SimDiscovery.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimDiscovery.java
@@ -1,7 +1,6 @@
 package frostrelay.emulator;
 
 import frostrelay.policy.Api;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.List;
--- a/emulator/src/main/java/frostrelay/emulator/SimFaults.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimFaults.java
@@ -12,7 +12,7 @@
 final class SimFaults {
     /** What is replaced is told to drain first. */
     private static final long DRAIN = 2_000_000_000L;
-    /** The part of newcomers that take over the address of one that is gone. */
+    /** One newcomer in so many takes over the address of the one that it replaces. */
     private static final int REUSED = 3;
     /** The part of its reads that a failing cache fails. */
     private static final double MOST = 0.9;
@@ -28,7 +28,7 @@
     private final SimClients clients;
     private final UniformRandomProvider random;
     private final Set<Long> held = new HashSet<>();
-    /** Caches that are there and not replaced yet. */
+    /** The place of the next newcomer. */
     private int newcomers;
 
     SimFaults(Plant plant, Timeline timeline, Wire wire, SimOrigin origin, SimDiscovery discovery, List<SimCache> caches,
