--- /dev/null
+++ b/cli/src/main/java/frostrelay/cli/CampaignCommand.java
@@ -0,0 +1,210 @@
+package frostrelay.cli;
+
+import frostrelay.rig.campaign.Campaign;
+import frostrelay.rig.campaign.CampaignPlay;
+import frostrelay.rig.campaign.Happening;
+import frostrelay.rig.campaign.Schedule;
+import frostrelay.rig.campaign.ScheduleFile;
+import frostrelay.rig.campaign.Violation;
+import frostrelay.rig.fleet.Program;
+import frostrelay.start.Defect;
+import frostrelay.start.Start;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Real processes, faults between them, and checkers over what the stand-ins saw. */
+@Command(name = "campaign", mixinStandardHelpOptions = true, description = {
+    "Starts several balancers as processes, plays faults on them and between them, and holds what they say of themselves"
+    + " against what the stand-ins saw. Exits with 1 on a violation.",
+    "docs/campaign.md says what is checked."})
+final class CampaignCommand implements Callable<Integer> {
+    private static final long SECOND = 1_000_000_000L;
+    private static final String MATTER = "audit";
+
+    @Spec
+    private CommandSpec spec;
+
+    @Mixin
+    private Output output;
+
+    @Parameters(arity = "0..*", paramLabel = "FILE", description = "Schedules in TOML to play; without any they are drawn.")
+    private List<Path> files = List.of();
+
+    @Option(names = "--matter", paramLabel = "NAME", defaultValue = MATTER, description = "What is checked (${DEFAULT-VALUE}).")
+    private String matter;
+
+    @Option(names = "--seeds", paramLabel = "A..B", defaultValue = "1..4", description = "Schedules drawn (${DEFAULT-VALUE}).")
+    private String seeds;
+
+    @Option(names = "--processes", paramLabel = "N", defaultValue = "5", description = "Balancers, 2 to 12 (${DEFAULT-VALUE}).")
+    private int processes;
+
+    @Option(names = "--seconds", paramLabel = "S", defaultValue = "12", description = "Of each play, 6 to 600 (${DEFAULT-VALUE}).")
+    private double seconds;
+
+    @Option(names = "--at-once", paramLabel = "N", defaultValue = "1", description = "Plays side by side (${DEFAULT-VALUE}).")
+    private int atOnce;
+
+    @Option(names = "--defect", paramLabel = "NAME", description = "Puts a seeded defect into one balancer; it has to be found.")
+    private String defect;
+
+    @Option(names = "--shrink", description = "Leaves happenings out of schedules that fail, as long as they fail.")
+    private boolean shrink;
+
+    @Option(names = "--keep", paramLabel = "DIR", description = "Where schedules that fail go, and the files of their plays.")
+    private Path keep;
+
+    @Option(names = "--list", description = "Prints matters, faults and defects.")
+    private boolean list;
+
+    /** How the balancer is started for a campaign, from this program's own jar or class path. */
+    static CampaignPlay.Launch launch() {
+        return properties -> {
+            List<String> command = new ArrayList<>(List.of(Program.java(), "-XX:+UseSerialGC", "-Xms32m", "-Xmx96m",
+                    "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xshare:auto", "-Djava.net.preferIPv4Stack=true"));
+            command.addAll(properties);
+            command.addAll(List.of("-cp", System.getProperty("java.class.path"), Start.class.getName()));
+            return command;
+        };
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        if (list) {
+            output.result(listed(), listedText());
+            return 0;
+        }
+        check(matter.equals(MATTER), "--matter: found " + matter + ", allowed: " + MATTER);
+        check(processes >= 2 && processes <= 12, "--processes: found " + processes + ", allowed: 2 to 12");
+        check(seconds >= 6 && seconds <= 600, "--seconds: found " + seconds + ", allowed: 6 to 600");
+        check(atOnce >= 1 && atOnce <= 64, "--at-once: found " + atOnce + ", allowed: 1 to 64");
+        check(defect == null || Defect.words().contains(defect), "--defect: found " + defect + ", allowed: " + Defect.words());
+        List<Schedule> schedules = schedules();
+        Path folder = keep != null ? keep : Checkout.folder();
+        Files.createDirectories(folder);
+        Campaign campaign = new Campaign(folder, launch(), defect, output::progress);
+        List<CampaignPlay.Outcome> outcomes = campaign.play(schedules, atOnce);
+        if (shrink) {
+            for (CampaignPlay.Outcome outcome : outcomes) {
+                if (!outcome.violations().isEmpty()) {
+                    Files.writeString(folder.resolve(outcome.schedule().name() + ".toml"),
+                            campaign.shrink(outcome.schedule()).toml());
+                }
+            }
+        }
+        boolean good = outcomes.stream().allMatch(outcome -> outcome.violations().isEmpty());
+        output.result(json(outcomes), text(outcomes, folder, good));
+        if (good && keep == null) {
+            Checkout.remove(folder);
+        }
+        return good ? 0 : 1;
+    }
+
+    private void check(boolean good, String otherwise) {
+        if (!good) {
+            throw new CommandLine.ParameterException(spec.commandLine(), otherwise);
+        }
+    }
+
+    private List<Schedule> schedules() {
+        List<Schedule> schedules = new ArrayList<>();
+        if (!files.isEmpty()) {
+            files.forEach(file -> schedules.add(ScheduleFile.read(file)));
+            return schedules;
+        }
+        check(seeds.matches("\\d{1,9}(\\.\\.\\d{1,9})?"), "--seeds: found " + seeds + ", allowed: A..B");
+        String[] ends = seeds.split("\\.\\.");
+        long last = Long.parseLong(ends[ends.length - 1]);
+        check(last >= Long.parseLong(ends[0]), "--seeds: found " + seeds + ", allowed: A..B with A at most B");
+        for (long seed = Long.parseLong(ends[0]); seed <= last; seed++) {
+            schedules.add(Schedule.drawn(seed, processes, (long) (seconds * SECOND)));
+        }
+        return schedules;
+    }
+
+    private static Map<String, Object> json(List<CampaignPlay.Outcome> outcomes) {
+        Map<String, Object> all = new LinkedHashMap<>();
+        Map<String, Integer> faults = new TreeMap<>();
+        List<Object> violations = new ArrayList<>();
+        List<Long> known = new ArrayList<>();
+        long commands = 0;
+        long beyond = 0;
+        long late = 0;
+        long bytes = 0;
+        for (CampaignPlay.Outcome outcome : outcomes) {
+            outcome.schedule().happenings().forEach(one -> faults.merge(one.kind().word(), 1, Integer::sum));
+            for (Violation violation : outcome.violations()) {
+                violations.add(Map.of("schedule", outcome.schedule().name(), "check", violation.check(), "what",
+                        violation.what()));
+            }
+            commands += ((Number) outcome.figures().get("commands")).longValue();
+            beyond += ((Number) outcome.figures().get("beyondTheRecord")).longValue();
+            late += ((Number) outcome.figures().get("knownLate")).longValue();
+            bytes += ((Number) outcome.figures().get("bytesASecondEach")).longValue();
+            ((List<?>) outcome.figures().get("knownAfterMs")).forEach(ms -> known.add(((Number) ms).longValue()));
+        }
+        known.sort(null);
+        all.put("played", outcomes.size());
+        all.put("failed", outcomes.stream().filter(outcome -> !outcome.violations().isEmpty()).count());
+        all.put("faults", faults);
+        all.put("commandsChecked", commands);
+        all.put("commandsBeyondTheRecord", beyond);
+        all.put("changesHeard", known.size());
+        all.put("knownP50Ms", known.isEmpty() ? null : known.get(known.size() / 2));
+        all.put("knownP99Ms", known.isEmpty() ? null : known.get(Math.min(known.size() - 1, known.size() * 99 / 100)));
+        all.put("knownLaterThan2s", late);
+        all.put("bytesASecondEach", outcomes.isEmpty() ? 0 : bytes / outcomes.size());
+        all.put("violations", violations);
+        return all;
+    }
+
+    private static String text(List<CampaignPlay.Outcome> outcomes, Path folder, boolean good) {
+        StringBuilder text = new StringBuilder();
+        Map<String, Object> all = json(outcomes);
+        all.forEach((name, value) -> {
+            if (!name.equals("violations")) {
+                text.append(name).append(": ").append(value).append(System.lineSeparator());
+            }
+        });
+        for (CampaignPlay.Outcome outcome : outcomes) {
+            for (Violation violation : outcome.violations()) {
+                text.append(outcome.schedule().name()).append(": ").append(violation.check()).append(": ")
+                        .append(violation.what()).append(System.lineSeparator());
+            }
+        }
+        return text.append(good ? "kept" : "violated; files of the plays: " + folder).toString();
+    }
+
+    private static Map<String, Object> listed() {
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("matters", List.of(MATTER));
+        all.put("faults", Happening.Kind.words());
+        all.put("defects", Defect.words());
+        return all;
+    }
+
+    private static String listedText() {
+        StringBuilder text = new StringBuilder("matters\n  " + MATTER + "\nfaults\n");
+        for (Happening.Kind kind : Happening.Kind.values()) {
+            text.append(String.format("  %-16s %s%n", kind.word(), kind.meaning));
+        }
+        text.append("defects\n");
+        for (Defect one : Defect.values()) {
+            text.append(String.format("  %-18s %s%n", one.word(), one.meaning));
+        }
+        return text.toString().stripTrailing();
+    }
+}
--- a/cli/src/main/java/frostrelay/cli/OwnSettings.java
+++ b/cli/src/main/java/frostrelay/cli/OwnSettings.java
@@ -4,6 +4,7 @@
 import frostrelay.config.TomlFile;
 import frostrelay.config.Values;
 import frostrelay.log.LogSetup;
+import frostrelay.node.FleetOptions;
 import frostrelay.node.Options;
 import java.nio.file.Path;
 import java.util.List;
@@ -25,7 +26,17 @@
                         .duration("counts-every", "10s", "250ms", "1h", "Between two lines of counts."))
                 .table("reload", new Table("How a replaced configuration is found.")
                         .duration("look-every", "0ms", "0ms", "1h", "Looks at the platform's file for a change, besides"
-                                + " the signal; 0ms looks only where the signal is ignored."));
+                                + " the signal; 0ms looks only where the signal is ignored."))
+                .table("peers", new Table("Talk with the other balancers of the tier.")
+                        .bool("enabled", false, "Whether it talks; the platform's own ceilings.peer-messages has to allow it"
+                                + " as well.")
+                        .bytes("ceiling", "1KiB", "256B", "1MiB", "Sent in any second at most; each receiver is paid for."))
+                .table("audit", new Table("Its account of what it acts on.")
+                        .bool("enabled", false, "Whether it keeps one.")
+                        .bytes("memory", "256KiB", "4KiB", "64MiB", "Of the account that the console tells from memory.")
+                        .text("folder", "", "Where it is kept besides, below $TMPDIR if relative; empty for memory alone.")
+                        .bytes("folder-most", "8MiB", "64KiB", "64GiB", "What the folder may take; the oldest goes first.")
+                        .bool("each-send", false, "Whether every send is entered by itself, with its request's id."));
     }
 
     /** Reads a file; throws {@link frostrelay.config.BadConfigException} with all that is wrong. */
@@ -34,6 +45,14 @@
         Values log = values.table("log");
         return new Options(LogSetup.Format.valueOf(log.text("format").toUpperCase(Locale.ROOT)),
                 Level.valueOf(log.text("level").toUpperCase(Locale.ROOT)),
-                values.table("reload").whole("look-every"), log.whole("counts-every"));
+                values.table("reload").whole("look-every"), log.whole("counts-every"),
+                fleet(values.table("peers"), values.table("audit")));
+    }
+
+    private static FleetOptions fleet(Values peers, Values audit) {
+        String folder = audit.text("folder");
+        return new FleetOptions(peers.bool("enabled"), (int) peers.whole("ceiling"), audit.bool("enabled"),
+                (int) audit.whole("memory"), audit.bool("each-send"), folder.isEmpty() ? null : Path.of(folder),
+                audit.whole("folder-most"));
     }
 }
--- /dev/null
+++ b/cli/src/main/java/frostrelay/start/Defect.java
@@ -0,0 +1,155 @@
+package frostrelay.start;
+
+import frostrelay.audit.Entry;
+import frostrelay.audit.Recorder;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+/** Faults put into a balancer's account of itself, by which checkers are proved: each has to be found. */
+public enum Defect {
+    LATE_STAMP("A change of list or configuration is entered 1.5 s after it was acted on.") {
+        @Override
+        Recorder into(Recorder inner) {
+            return new LateStamp(inner);
+        }
+    },
+    LOST_ENTRIES("One second in four is missing, and no gap says so.") {
+        @Override
+        Recorder into(Recorder inner) {
+            return entry -> {
+                if (entry.at() / 1_000_000_000L % 4 != 2 || !(entry instanceof Entry.Sent || entry instanceof Entry.Counts)) {
+                    inner.append(entry);
+                }
+            };
+        }
+    },
+    WRONG_INCARNATION("The start is entered under the incarnation of another life.") {
+        @Override
+        Recorder into(Recorder inner) {
+            return entry -> inner.append(entry instanceof Entry.Start one ? new Entry.Start(one.at(), one.name(), one.rank(),
+                    one.incarnation() - (5_000L << 7), one.build(), one.wallMs()) : entry);
+        }
+    },
+    WRONG_CACHE("Sends are entered for the cache with the next number.") {
+        @Override
+        Recorder into(Recorder inner) {
+            return entry -> inner.append(entry instanceof Entry.Sent one ? new Entry.Sent(one.at(), one.sequence(),
+                    one.cache() % 5 + 1, one.attempt(), one.id()) : entry);
+        }
+    },
+    OLD_LIST("The version of the list is entered as the one before.") {
+        @Override
+        Recorder into(Recorder inner) {
+            return entry -> inner.append(entry instanceof Entry.Acts one && one.stamp().listRev() > 1
+                    ? new Entry.Acts(one.at(), one.sequence(), one.cause(), one.wallMs(), new frostrelay.peers.Stamp(
+                    one.stamp().build(), one.stamp().confNumber(), one.stamp().confDigest(), one.stamp().listRev() - 1,
+                    one.stamp().listDigest(), one.stamp().holds(), one.stamp().terms())) : entry);
+        }
+    },
+    DOUBLE_COUNT("Counts are entered twice.") {
+        @Override
+        Recorder into(Recorder inner) {
+            return entry -> {
+                inner.append(entry);
+                if (entry instanceof Entry.Counts) {
+                    inner.append(entry);
+                }
+            };
+        }
+    },
+    SKIPPED_STAMP("Every other change is not entered, and what was done under it goes by the one before.") {
+        @Override
+        Recorder into(Recorder inner) {
+            return new SkippedStamp(inner);
+        }
+    };
+
+    /** What it does. */
+    public final String meaning;
+
+    Defect(String meaning) {
+        this.meaning = meaning;
+    }
+
+    abstract Recorder into(Recorder inner);
+
+    /** As the command line names it. */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** All words. */
+    public static List<String> words() {
+        return Arrays.stream(values()).map(Defect::word).toList();
+    }
+
+    static Defect of(String word) {
+        return valueOf(word.toUpperCase(Locale.ROOT).replace('-', '_'));
+    }
+
+    private static Entry under(Entry entry, int sequence) {
+        if (entry instanceof Entry.Sent one) {
+            return new Entry.Sent(one.at(), sequence, one.cache(), one.attempt(), one.id());
+        }
+        if (entry instanceof Entry.Counts one) {
+            return new Entry.Counts(one.at(), sequence, one.copies(), one.refused(), one.failed(), one.caches(), one.sends());
+        }
+        return entry;
+    }
+
+    private static final class LateStamp implements Recorder {
+        private static final long LATE = 1_500_000_000L;
+        private final Recorder inner;
+        private Entry.Acts held;
+        private int entered;
+
+        LateStamp(Recorder inner) {
+            this.inner = inner;
+        }
+
+        @Override
+        public void append(Entry entry) {
+            if (held != null && entry.at() - held.at() >= LATE) {
+                inner.append(new Entry.Acts(entry.at(), held.sequence(), held.cause(), held.wallMs(), held.stamp()));
+                entered = held.sequence();
+                held = null;
+            }
+            if (entry instanceof Entry.Acts one && one.sequence() > 1) {
+                if (held != null) {
+                    inner.append(new Entry.Acts(entry.at(), held.sequence(), held.cause(), held.wallMs(), held.stamp()));
+                    entered = held.sequence();
+                }
+                held = one;
+            } else {
+                entered = entry instanceof Entry.Acts one ? one.sequence() : entered;
+                inner.append(held == null ? entry : under(entry, entered));
+            }
+        }
+    }
+
+    private static final class SkippedStamp implements Recorder {
+        private final Recorder inner;
+        private int entered;
+        private boolean skip;
+
+        SkippedStamp(Recorder inner) {
+            this.inner = inner;
+        }
+
+        @Override
+        public void append(Entry entry) {
+            if (entry instanceof Entry.Acts one && one.sequence() > 1) {
+                skip = !skip;
+                if (skip) {
+                    return;
+                }
+                entered++;
+                inner.append(new Entry.Acts(one.at(), entered, one.cause(), one.wallMs(), one.stamp()));
+            } else {
+                entered = entry instanceof Entry.Acts one ? one.sequence() : entered;
+                inner.append(under(entry, entered));
+            }
+        }
+    }
+}
--- a/node/src/main/java/frostrelay/console/Answer.java
+++ b/node/src/main/java/frostrelay/console/Answer.java
@@ -10,19 +10,30 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 
-/** What a caller is told: a status and one word or line in JSON. {@code allow}: the method of the path, or null. */
-record Answer(HttpResponseStatus status, String text, HttpMethod allow) {
+/**
+ * What a caller is told: a status and one word or line in JSON, or in its place a whole body. {@code allow}: the method of
+ * the path, or null.
+ */
+record Answer(HttpResponseStatus status, String text, HttpMethod allow, byte[] whole, CharSequence type) {
+    Answer(HttpResponseStatus status, String text, HttpMethod allow) {
+        this(status, text, allow, null, HttpHeaderValues.APPLICATION_JSON);
+    }
+
     static Answer of(HttpResponseStatus status, String text) {
         return new Answer(status, text, null);
     }
 
+    static Answer of(byte[] whole, CharSequence type) {
+        return new Answer(HttpResponseStatus.OK, null, null, whole, type);
+    }
+
     /** None of the texts holds what JSON would have to escape. */
     FullHttpResponse response() {
         String name = status.code() < HttpResponseStatus.BAD_REQUEST.code() ? "status" : "error";
-        byte[] body = ("{\"" + name + "\":\"" + text + "\"}\n").getBytes(StandardCharsets.UTF_8);
+        byte[] body = whole != null ? whole : ("{\"" + name + "\":\"" + text + "\"}\n").getBytes(StandardCharsets.UTF_8);
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 Unpooled.wrappedBuffer(body));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, type)
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         if (allow != null) {
--- a/node/src/main/java/frostrelay/console/Calls.java
+++ b/node/src/main/java/frostrelay/console/Calls.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.jr.ob.JSON;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -31,7 +32,7 @@
         }
         String path = new QueryStringDecoder(request.uri()).rawPath();
         HttpMethod method = switch (path) {
-            case "/ops/readiness" -> HttpMethod.GET;
+            case "/ops/readiness", "/ops/audit", "/ops/audit/record" -> HttpMethod.GET;
             case "/ops/drain/start", "/ops/drain/stop", "/ops/template-caches/down", "/ops/template-caches/up" ->
                     HttpMethod.POST;
             default -> null;
@@ -45,6 +46,9 @@
         return switch (path) {
             case "/ops/readiness" -> done(operations.ready() ? Answer.of(HttpResponseStatus.OK, "ready")
                     : Answer.of(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready"));
+            case "/ops/audit" -> done(whole(operations.audit(), HttpHeaderValues.APPLICATION_JSON));
+            case "/ops/audit/record" -> done(whole(operations.auditRecord(),
+                    HttpHeaderValues.APPLICATION_OCTET_STREAM));
             case "/ops/drain/start" -> {
                 operations.startDrain();
                 yield done(Answer.of(HttpResponseStatus.OK, "draining"));
@@ -57,6 +61,11 @@
         };
     }
 
+    private static Answer whole(byte[] body, CharSequence type) {
+        return body == null ? Answer.of(HttpResponseStatus.NOT_FOUND, "this balancer keeps no account")
+                : Answer.of(body, type);
+    }
+
     private Future<Answer> hold(FullHttpRequest request, boolean out) {
         Object body;
         try {
--- a/node/src/main/java/frostrelay/console/Operations.java
+++ b/node/src/main/java/frostrelay/console/Operations.java
@@ -7,6 +7,12 @@
     /** Whether this process is ready to serve. */
     boolean ready();
 
+    /** What this balancer acts on and what it knows of the others, as JSON; null where it keeps no account. */
+    byte[] audit();
+
+    /** Its record so far, in the form of the audit's files; null where it keeps none. */
+    byte[] auditRecord();
+
     /** Sends clients away until {@link #stopDrain}. */
     void startDrain();
 
--- a/node/src/main/java/frostrelay/log/Event.java
+++ b/node/src/main/java/frostrelay/log/Event.java
@@ -36,6 +36,12 @@
             "trace"),
     LIBRARY(Level.WARN, "A library complains. At most 100 such lines in a process's life.", "logger", "message",
             "exception"),
+    PEERS_TALK(Level.INFO, "It talks with the balancers of its tier from now on.", "at", "number", "of", "ceiling"),
+    PEERS_SILENT(Level.WARN, "It was to talk with its peers and does not.", "reason"),
+    PEER_STATE(Level.INFO, "What is believed of another balancer has changed. At most 200 such lines between two counts.",
+            "number", "state", "said-by"),
+    AUDIT_LACKS(Level.ERROR, "The audit's record cannot be written; what is missing is named in it as a gap. Service goes on.",
+            "reason"),
     REHEARSED(Level.INFO, "The build has played a balancer's life once.", "answers");
 
     /** How much it matters. */
--- /dev/null
+++ b/node/src/main/java/frostrelay/node/Acting.java
@@ -0,0 +1,126 @@
+package frostrelay.node;
+
+import frostrelay.audit.AuditLog;
+import frostrelay.audit.Cause;
+import frostrelay.peers.Stamp;
+import frostrelay.policy.Api;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/** Puts the stamp together that this balancer acts under, has every change of it entered, and counts what is done. */
+final class Acting implements Witness {
+    private record Listed(int number, boolean ready, long bootMs, long digest) {
+    }
+
+    private final AuditLog audit;
+    private final LongSupplier wall;
+    private final Consumer<Stamp> changed;
+    private final Map<String, Listed> list = new HashMap<>();
+    private long listDigest;
+
+    /** {@code audit}: has the first stamp; {@code changed}: hears of each later one. */
+    Acting(AuditLog audit, LongSupplier wall, Consumer<Stamp> changed) {
+        this.audit = audit;
+        this.wall = wall;
+        this.changed = changed;
+    }
+
+    /** What a balancer acts on before it has taken any list. */
+    static Stamp first(Config config, int build) {
+        return new Stamp(build, config.version(), config.digest(), 0, 0, 0, 0);
+    }
+
+    @Override
+    public void onList(Api.ListMode mode, long rev, List<Catalog.Member> members) {
+        if (mode == Api.ListMode.FAILED) {
+            return;
+        }
+        if (mode != Api.ListMode.DELTA) {
+            Set<String> unnamed = new TreeSet<>(list.keySet());
+            members.forEach(member -> unnamed.remove(member.uid()));
+            unnamed.forEach(uid -> put(uid, Api.State.GONE, list.get(uid).bootMs));
+        }
+        members.forEach(member -> put(member.uid(), member.server().state(),
+                member.server().startedAt() / Clock.MILLISECOND));
+        Stamp now = audit.stamp();
+        change(new Stamp(now.build(), now.confNumber(), now.confDigest(), rev, listDigest, now.holds(), now.terms()),
+                mode == Api.ListMode.CACHED ? Cause.START : Cause.DISCOVERY);
+    }
+
+    /** The list's digest is a sum, so that it is the same in whatever order entries come and go. */
+    private void put(String uid, Api.State state, long bootMs) {
+        Listed before = list.get(uid);
+        if (state == Api.State.GONE && before == null) {
+            return;
+        }
+        long digest = state == Api.State.GONE ? 0 : Digests.of(uid + '|' + state + '|' + bootMs);
+        listDigest += digest - (before == null ? 0 : before.digest);
+        int number = number(uid);
+        boolean ready = state == Api.State.READY;
+        if (before == null || before.ready != ready || before.bootMs != bootMs) {
+            audit.lists(Clock.now(), number, ready, bootMs);
+        }
+        if (state == Api.State.GONE) {
+            list.remove(uid);
+        } else {
+            list.put(uid, new Listed(number, ready, bootMs, digest));
+        }
+    }
+
+    @Override
+    public void onConfig(Config config) {
+        Stamp now = audit.stamp();
+        change(new Stamp(now.build(), config.version(), config.digest(), now.listRev(), now.listDigest(), now.holds(),
+                now.terms()), Cause.FILE);
+    }
+
+    @Override
+    public void onHolds(Set<String> names) {
+        Stamp now = audit.stamp();
+        long digest = names.isEmpty() ? 0 : Digests.of(String.join("\n", new TreeSet<>(names)));
+        change(new Stamp(now.build(), now.confNumber(), now.confDigest(), now.listRev(), now.listDigest(), digest,
+                now.terms()), Cause.OPERATORS);
+    }
+
+    private void change(Stamp fresh, Cause why) {
+        if (!fresh.equals(audit.stamp())) {
+            audit.acts(Clock.now(), wall.getAsLong(), fresh, why);
+            changed.accept(fresh);
+        }
+    }
+
+    @Override
+    public void onRefusedConfig(String reason) {
+        audit.refused(Clock.now(), reason);
+    }
+
+    @Override
+    public int sequence() {
+        return audit.sequence();
+    }
+
+    @Override
+    public int number(String uid) {
+        return audit.number(Clock.now(), uid);
+    }
+
+    @Override
+    public void onWrite(int under, int cache, int attempt, boolean copy, Ask ask) {
+        audit.sent(Clock.now(), under, cache, attempt, copy, ask.id());
+    }
+
+    @Override
+    public void onRefused() {
+        audit.refused();
+    }
+
+    @Override
+    public void onFailed() {
+        audit.failed();
+    }
+}
--- a/node/src/main/java/frostrelay/node/Attempt.java
+++ b/node/src/main/java/frostrelay/node/Attempt.java
@@ -8,6 +8,8 @@
     final int number;
     final long sentAt;
     final long cutAt;
+    /** Which stamp it was decided on under, by its number in this life. */
+    final int under;
     /** Set once, with the attempt's one outcome. */
     boolean over;
     /** Ends the wait at {@link #cutAt}. */
@@ -15,11 +17,12 @@
     /** What carries it, or will once it is up; null before and after. */
     Backend.Carrier carrier;
 
-    Attempt(Exchange exchange, int number, long sentAt, long cutAt) {
+    Attempt(Exchange exchange, int number, long sentAt, long cutAt, int under) {
         this.exchange = exchange;
         this.number = number;
         this.sentAt = sentAt;
         this.cutAt = cutAt;
+        this.under = under;
     }
 
     /** Whether its last byte has left: from then on it may run. */
--- a/node/src/main/java/frostrelay/node/Backend.java
+++ b/node/src/main/java/frostrelay/node/Backend.java
@@ -10,6 +10,12 @@
 interface Backend {
     /** Hears how attempts end, but for those that were abandoned; {@code value}: what is still coming, or null. */
     interface Listener {
+        /** An attempt is written to the host that the listener numbered so. */
+        void onWrite(Attempt attempt, int host);
+
+        /** The number that a host is to be told of by, {@code uid} being its name in the list. */
+        int number(String uid);
+
         void onAnswer(Attempt attempt, Reason reason, Reply answer, ValueStream value);
     }
 
--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -169,13 +169,15 @@
     /** The ids of requests that are owed an answer. */
     private final Set<String> openIds = new HashSet<>();
     private final Budget budget;
+    private final Witness witness;
     private final Queue<Event> events = new ArrayDeque<>();
     private boolean inModule;
     private long lastId;
 
     Balancer(Config config, EventLoop loop, Counters counters, Module module, Backend.Maker backend,
-             Budget budget, SharedFolder.Look shared) {
+             Budget budget, SharedFolder.Look shared, Witness witness) {
         this.budget = budget;
+        this.witness = witness;
         this.site = new CurrentSite(config.site());
         this.loop = loop;
         this.counters = counters;
@@ -185,7 +187,7 @@
         onOthers(shared.others());
         onHolds(shared.holds());
         Catalog known = config.known();
-        onList(Api.ListMode.CACHED, known.members());
+        onList(Api.ListMode.CACHED, known.rev(), known.members());
     }
 
     // What comes in.
@@ -224,12 +226,27 @@
     }
 
     @Override
-    public void onList(Api.ListMode mode, List<Catalog.Member> members) {
+    public void onList(Api.ListMode mode, long rev, List<Catalog.Member> members) {
+        witness.onList(mode, rev, members);
         pool.update(mode, members);
         List<Api.Server> servers = members.stream().map(Catalog.Member::server).toList();
         post(null, () -> router.onList(Clock.now(), mode, servers));
     }
 
+    @Override
+    public void onWrite(Attempt attempt, int host) {
+        boolean copy = false;
+        for (int i = 0; i < attempt.number; i++) {
+            copy |= !attempt.exchange.attempts.get(i).over;
+        }
+        witness.onWrite(attempt.under, host, attempt.number, copy, attempt.exchange.ask);
+    }
+
+    @Override
+    public int number(String uid) {
+        return witness.number(uid);
+    }
+
     @Override
     public void onAnswer(Attempt attempt, Reason reason, Reply answer, ValueStream value) {
         end(attempt, reason, answer, value);
@@ -237,6 +254,7 @@
 
     /** The configuration was replaced: of what it tells, the settings and where discovery is change under way. */
     void reload(Config fresh) {
+        witness.onConfig(fresh);
         site.swap(fresh.site());
         post(null, () -> router.onSettings(Clock.now(), fresh.site().settings));
         discovery.moveTo(fresh.discovery());
@@ -266,6 +284,7 @@
     void onHolds(Set<String> names) {
         Set<Long> servers = new HashSet<>();
         names.forEach(name -> servers.add(Catalog.hash(name)));
+        witness.onHolds(names);
         pool.hold(servers);
         post(null, () -> router.onHolds(Clock.now(), servers));
     }
@@ -375,6 +394,7 @@
 
     private void answerRefused(Exchange exchange, long retryAfterMs) {
         counters.refused++;
+        witness.onRefused();
         if (close(exchange)) {
             exchange.client.refused(retryAfterMs);
         }
@@ -382,6 +402,7 @@
 
     private void answerFailed(Exchange exchange) {
         counters.failed++;
+        witness.onFailed();
         if (close(exchange)) {
             exchange.client.failed();
         }
@@ -409,7 +430,7 @@
         }
         long now = Clock.now();
         long cut = cutAt <= 0 ? exchange.deadline : Math.min(cutAt, exchange.deadline);
-        Attempt attempt = new Attempt(exchange, exchange.attempts.size(), now, cut);
+        Attempt attempt = new Attempt(exchange, exchange.attempts.size(), now, cut, witness.sequence());
         exchange.attempts.add(attempt);
         exchange.pending++;
         boolean tooMany = exchange.attempts.size() > site().settings.maxAttempts();
--- a/node/src/main/java/frostrelay/node/Catalog.java
+++ b/node/src/main/java/frostrelay/node/Catalog.java
@@ -17,7 +17,7 @@
     private static final long FNV_PRIME = 0x100000001b3L;
 
     /** A host as the module knows it, and where it is reached from here. */
-    record Member(Api.Server server, InetSocketAddress endpoint) {
+    record Member(String uid, Api.Server server, InetSocketAddress endpoint) {
     }
 
     static Catalog parse(Map<?, ?> json, Site site) {
@@ -38,13 +38,14 @@
         };
         // The id comes from the uid, never from the endpoint, which differs from balancer to balancer:
         // rendezvous hashing and slow start need the same id everywhere.
-        Api.Server server = new Api.Server(hash(Json.get(json, "uid", String.class)),
+        String uid = Json.get(json, "uid", String.class);
+        Api.Server server = new Api.Server(hash(uid),
                 site.zone(Json.get(json, "az", String.class, "")),
                 site.kind(Json.get(json, "model", String.class, "")),
                 Json.get(json, "pod_group", Number.class, 0).intValue(), state,
                 Json.get(json, "capacity_hint", Number.class, 1).doubleValue(),
                 Json.get(json, "boot_ms", Number.class, 0).longValue() * Clock.MILLISECOND);
-        return new Member(server, address(Json.get(json, "endpoint", String.class)));
+        return new Member(uid, server, address(Json.get(json, "endpoint", String.class)));
     }
 
     /** FNV-1a: the same 64-bit number for a text at every balancer. */
--- a/node/src/main/java/frostrelay/node/Config.java
+++ b/node/src/main/java/frostrelay/node/Config.java
@@ -1,5 +1,6 @@
 package frostrelay.node;
 
+import frostrelay.peers.Stamp;
 import java.net.InetSocketAddress;
 import java.util.Map;
 
@@ -21,6 +22,16 @@
         return parse(fresh, site.succeed(Json.get(fresh, "settings", Map.class), Clock.now()));
     }
 
+    /** The operators' version number of it, or {@link Stamp#NO_NUMBER}. */
+    long version() {
+        return Json.get(json, "version", Number.class, Stamp.NO_NUMBER).longValue();
+    }
+
+    /** Of the settings that all balancers of a tier share: the same for the same, in whatever order they stand. */
+    long digest() {
+        return Digests.of(Site.shared(Json.get(json, "settings", Map.class)));
+    }
+
     static Config parse(Map<?, ?> json) {
         return parse(json, new Site(Json.get(json, "settings", Map.class)));
     }
--- a/node/src/main/java/frostrelay/node/Counters.java
+++ b/node/src/main/java/frostrelay/node/Counters.java
@@ -16,6 +16,8 @@
     private static final int MOST_NOISES = 20;
     private static final int MOST_NOISE = 200;
     private static final int MOST_FRAMES = 6;
+    /** Twice a large tier: every balancer of it may go and come back between two prints. */
+    private static final int MOST_STATES = 200;
     private final long[] outcomes = new long[Reason.values().length];
     long taken;
     long served;
@@ -39,6 +41,7 @@
     private long lateTimers;
     private long latest;
     private long noises;
+    private int states;
 
     void outcome(Reason reason) {
         outcomes[reason.ordinal()]++;
@@ -78,6 +81,7 @@
         }
         counts.put("not-logged", Math.max(0, noises - MOST_NOISES));
         noises = 0;
+        states = 0;
         latest = 0;
         Log.write(Event.COUNTS, counts, gauges);
     }
@@ -89,6 +93,11 @@
         }
     }
 
+    /** Whether one more change of a peer's state may be told before the next print. */
+    boolean mayTell() {
+        return ++states <= MOST_STATES;
+    }
+
     /** An exception that nobody expected: the place where it arose is what finds its cause. */
     void unexpected(String where, Throwable cause) {
         if (++noises > MOST_NOISES) {
--- a/node/src/main/java/frostrelay/node/Discovery.java
+++ b/node/src/main/java/frostrelay/node/Discovery.java
@@ -32,7 +32,7 @@
 final class Discovery {
     /** Hears every list in order. A failure ends the watch; the module says when to ask again. */
     interface Listener {
-        void onList(ListMode mode, List<Catalog.Member> members);
+        void onList(ListMode mode, long rev, List<Catalog.Member> members);
     }
 
     /** How long a watch may wait for news; each call costs discovery work. */
@@ -158,7 +158,7 @@
             current = next;
             long wait = Math.max(0, LEAST_MS - (Clock.now() - begun) / Clock.MILLISECOND);
             loop.schedule(next::start, wait, TimeUnit.MILLISECONDS);
-            listener.onList(catalog.all() ? ListMode.FULL : ListMode.DELTA, catalog.members());
+            listener.onList(catalog.all() ? ListMode.FULL : ListMode.DELTA, catalog.rev(), catalog.members());
         }
 
         @Override
@@ -193,7 +193,7 @@
             drop();
             current = null;
             Log.write(Event.DISCOVERY_FAILED, why);
-            listener.onList(ListMode.FAILED, List.of());
+            listener.onList(ListMode.FAILED, rev, List.of());
         }
     }
 }
--- a/node/src/main/java/frostrelay/node/HostPool.java
+++ b/node/src/main/java/frostrelay/node/HostPool.java
@@ -39,6 +39,7 @@
 
     /** A cache host and what of it is free. */
     private static final class Host {
+        final int number;
         InetSocketAddress endpoint;
         boolean gone;
         /** The list's word. */
@@ -47,6 +48,10 @@
         long sendUntil = NEVER;
         int links;
         final Deque<Link> idle = new ArrayDeque<>();
+
+        Host(int number) {
+            this.number = number;
+        }
     }
 
     private final CurrentSite site;
@@ -82,7 +87,8 @@
         long now = Clock.now();
         Set<Host> unnamed = new LinkedHashSet<>(hosts.values());
         for (Catalog.Member member : members) {
-            Host host = hosts.computeIfAbsent(member.server().id(), id -> new Host());
+            Host host = hosts.computeIfAbsent(member.server().id(),
+                    id -> new Host(listener.number(member.uid())));
             unnamed.remove(host);
             if (!member.endpoint().equals(host.endpoint)) {
                 closeIdle(host);
@@ -299,6 +305,7 @@
             }
             long leftMs = Math.max(1, (attempt.cutAt - now) / Clock.MILLISECOND);
             ByteBuf bytes = attempt.exchange.ask.encode(channel.alloc(), leftMs);
+            listener.onWrite(attempt, host.number);
             sent = channel.writeAndFlush(bytes);
         }
 
--- a/node/src/main/java/frostrelay/node/Main.java
+++ b/node/src/main/java/frostrelay/node/Main.java
@@ -5,8 +5,8 @@
     private Main() {
     }
 
-    /** Takes no arguments; {@code GW_CONFIG} names the configuration. */
+    /** Takes no arguments; {@code GW_CONFIG} names the configuration; {@link FleetOptions} its properties. */
     public static void main(String[] args) {
-        Program.start(System.getenv("GW_CONFIG"), () -> Options.STANDARD);
+        Program.start(System.getenv("GW_CONFIG"), Options::ofProperties);
     }
 }
--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -50,6 +50,7 @@
     private final Budget budget = new Budget(MOST_HELD);
     private final Balancer balancer;
     private final ClientServer server;
+    private final Fleet fleet;
     private Phase phase = Phase.STARTING;
     /** Further processes of this balancer: descriptors are shared with them. */
     private int others;
@@ -64,13 +65,13 @@
     private int sweepsPerPrint;
 
     /**
-     * To be called on the loop, as all of this class. {@code shared}: what the folder showed;
-     * {@code counts}: nanoseconds between two prints of them.
+     * To be called on the loop, as all of this class. {@code shared}: what the folder showed.
      */
     Node(Config config, EventLoop loop, Balancer.Module module, SharedFolder folder,
-         SharedFolder.Look shared, long counts) {
+         SharedFolder.Look shared, Options options, Seams seams) {
         this.config = config;
-        countEvery(counts);
+        countEvery(options.counts());
+        this.fleet = Fleet.of(config, options.fleet(), seams, loop, counters);
         this.loop = loop;
         this.folder = folder;
         int all = config.sockets();
@@ -80,7 +81,7 @@
         clients = Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
         links = Math.max(1, all - reserve() - clients - surplus);
         balancer = new Balancer(config, loop, counters, module,
-                (site, listener) -> new HostPool(site, loop, counters, mostLinks(shared), listener), budget, shared);
+                (site, listener) -> new HostPool(site, loop, counters, mostLinks(shared), listener), budget, shared, fleet.witness());
         server = new ClientServer(balancer, loop, counters, budget, mostClients(shared), surplus);
     }
 
@@ -122,6 +123,7 @@
         clients.addListener(bound -> {
             if (bound.isSuccess()) {
                 phase = Phase.SERVING;
+                fleet.serve();
                 folder.serve(() -> usage, look -> loop.execute(() -> share(look)));
                 started.setSuccess(clients);
             } else {
@@ -135,6 +137,8 @@
         int count = look.others();
         if (count != others) {
             Log.write(count > others ? Event.SIBLING_SERVES : Event.SIBLING_ENDED, count);
+            // The younger speaks for both: it is the one that goes on.
+            fleet.speak(count < others);
             others = count;
             balancer.onOthers(others);
         }
@@ -155,6 +159,7 @@
 
     private void sweep() {
         balancer.sweep();
+        fleet.tick();
         server.sweep();
         if (++sweeps % sweepsPerPrint == 0) {
             print();
@@ -175,7 +180,7 @@
 
     /** A list of hosts from elsewhere than discovery. */
     void onList(Api.ListMode mode, List<Catalog.Member> members) {
-        balancer.onList(mode, members);
+        balancer.onList(mode, 0, members);
     }
 
     /** From now on counts are printed every so many nanoseconds. */
@@ -196,10 +201,26 @@
             return true;
         } catch (ConfigException e) {
             Log.write(Event.SETTINGS_REFUSED, e.getMessage());
+            fleet.witness().onRefusedConfig(e.getMessage());
             return false;
         }
     }
 
+    /** A replaced configuration that is none at all. */
+    void refuse(String reason) {
+        fleet.witness().onRefusedConfig(reason);
+    }
+
+    @Override
+    public byte[] audit() {
+        return fleet.statement();
+    }
+
+    @Override
+    public byte[] auditRecord() {
+        return fleet.record();
+    }
+
     @Override
     public boolean ready() {
         return phase == Phase.SERVING;
@@ -248,6 +269,7 @@
     Future<Void> stop(boolean replaced) {
         Log.write(Event.STOPS, replaced);
         phase = Phase.STOPPING;
+        fleet.leave(replaced);
         Promise<Void> done = loop.newPromise();
         long longest = config.site().settings.classes().stream().mapToLong(Api.RequestClass::deadline).max()
                 .orElse(0);
@@ -266,6 +288,7 @@
         // By the end every deadline has passed: only a client that does not read can still be there.
         if (server.clients() == 0 && balancer.open() == 0 || Clock.now() >= end) {
             print();
+            fleet.close();
             done.setSuccess(null);
         } else {
             loop.schedule(() -> await(done, end), LOOK_MS, TimeUnit.MILLISECONDS);
--- a/node/src/main/java/frostrelay/node/Program.java
+++ b/node/src/main/java/frostrelay/node/Program.java
@@ -41,6 +41,11 @@
 
     /** Starts to serve and returns; the process ends with 1 if that fails. {@code path}: of the configuration. */
     public static void start(String path, Own own) {
+        start(path, own, Seams.NONE);
+    }
+
+    /** Likewise with what a test build puts in between. */
+    public static void start(String path, Own own, Seams seams) {
         try {
             Hangup hangup = Hangup.install();
             Options options = own.read();
@@ -50,7 +55,8 @@
             EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
             SharedFolder folder = new SharedFolder(temporary(), Long.toString(ProcessHandle.current().pid()));
             SharedFolder.Look shared = folder.look();
-            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, shared, options.counts())).get();
+            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, shared, options, seams))
+                    .get();
             Program program = new Program(file, own, node, loop, folder);
             // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
             Runtime.getRuntime().addShutdownHook(new Thread(program::stop, "stop"));
@@ -100,6 +106,7 @@
             });
         } catch (RuntimeException e) {
             Log.write(Event.SETTINGS_REFUSED, e.getMessage());
+            loop.execute(() -> node.refuse(e.getMessage()));
         }
     }
 
--- a/node/src/main/java/frostrelay/node/Rehearsal.java
+++ b/node/src/main/java/frostrelay/node/Rehearsal.java
@@ -65,7 +65,7 @@
                     .getBytes(StandardCharsets.UTF_8);
             Config config = Config.parse(Json.parse(json));
             SharedFolder.Look look = folder.look();
-            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, look, Options.STANDARD.counts())).get();
+            Node node = loop.submit(() -> new Node(config, loop, Router::new, folder, look, Options.STANDARD, Seams.NONE)).get();
             InetSocketAddress address = (InetSocketAddress) loop.submit(node::start).get().sync().getNow().channel()
                     .localAddress();
             int answers = ask(address);
--- a/node/src/main/java/frostrelay/node/Site.java
+++ b/node/src/main/java/frostrelay/node/Site.java
@@ -16,6 +16,8 @@
     /** Load report fields: their names on sockets and in the settings, where these differ. */
     private static final Map<String, String> FIELD_NAMES = Map.of("inflight", "rif", "queue", "q",
             "util", "busy", "latency_ms", "lat_ms", "qps", "rate", "eps", "fail_rate");
+    /** Settings that differ from balancer to balancer. */
+    private static final List<String> OWN = List.of("my-zone", "rank");
     private static final float[] NO_REPORT = {};
     private static final long DROPPED_NS = 5 * Clock.SECOND;
 
@@ -40,12 +42,9 @@
     private Site(Map<?, ?> json, Map<String, Long> droppedUntil) {
         this.json = json;
         this.droppedUntil = droppedUntil;
-        Map<String, String> lines = new TreeMap<>();
-        flatten("", json, lines);
-        StringBuilder text = new StringBuilder();
-        lines.forEach((path, value) -> text.append(path).append('=').append(value).append('\n'));
+        Map<String, String> lines = lines(json);
         try {
-            settings = SettingsParser.parse(text.toString());
+            settings = SettingsParser.parse(text(lines));
         } catch (RuntimeException e) {
             throw new ConfigException(e.getMessage());
         }
@@ -75,6 +74,25 @@
         return new Site(SettingsMerge.merge(json, fresh), until);
     }
 
+    private static Map<String, String> lines(Map<?, ?> json) {
+        Map<String, String> lines = new TreeMap<>();
+        flatten("", json, lines);
+        return lines;
+    }
+
+    private static String text(Map<String, String> lines) {
+        StringBuilder text = new StringBuilder();
+        lines.forEach((path, value) -> text.append(path).append('=').append(value).append('\n'));
+        return text.toString();
+    }
+
+    /** What settings say to every balancer alike, a sorted line each. */
+    static String shared(Map<?, ?> json) {
+        Map<String, String> lines = lines(json);
+        lines.keySet().removeAll(OWN);
+        return text(lines);
+    }
+
     /** Writes an object in the form of the simulator's settings lines, so that both sides parse alike. */
     private static void flatten(String path, Object value, Map<String, String> lines) {
         if (value instanceof Map<?, ?> map) {
--- a/node/src/test/java/frostrelay/console/ConsoleServerTest.java
+++ b/node/src/test/java/frostrelay/console/ConsoleServerTest.java
@@ -36,6 +36,16 @@
             return ready;
         }
 
+        @Override
+        public byte[] audit() {
+            return "{}".getBytes(StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public byte[] auditRecord() {
+            return null;
+        }
+
         @Override
         public void startDrain() {
             calls.add("start");
--- a/node/src/test/java/frostrelay/node/Rig.java
+++ b/node/src/test/java/frostrelay/node/Rig.java
@@ -97,7 +97,7 @@
         temporary = Files.createTempDirectory("rig");
         folder = new SharedFolder(temporary, "rig");
         SharedFolder.Look look = folder.look();
-        node = loop.submit(() -> new Node(config, loop, module, folder, look, Options.STANDARD.counts())).get();
+        node = loop.submit(() -> new Node(config, loop, module, folder, look, Options.STANDARD, Seams.NONE)).get();
         address = (InetSocketAddress) loop.submit(node::start).get().sync().getNow().channel().localAddress();
         return this;
     }
--- a/rig/src/main/java/frostrelay/rig/bench/Bench.java
+++ b/rig/src/main/java/frostrelay/rig/bench/Bench.java
@@ -223,7 +223,8 @@
         InetSocketAddress listen = Loopback.port(freePort());
         BalancerProcess process = new BalancerProcess("balancer-1", program, folder.resolve("balancer-1"), listen,
                 BalancerConfig.json(day, 0, Loopback.text(listen), Loopback.text(Loopback.port(freePort())),
-                        Loopback.text(discovery.listen("balancer-1", endpoints)), discovery.list(endpoints)));
+                        Loopback.text(discovery.listen("balancer-1", endpoints)), discovery.list(endpoints),
+                        Map.of()));
         children.add(process);
         process.start();
         process.awaitReady();
--- a/rig/src/main/java/frostrelay/rig/cache/CacheServer.java
+++ b/rig/src/main/java/frostrelay/rig/cache/CacheServer.java
@@ -247,6 +247,7 @@
         double work = work(job);
         if (!job.id.isEmpty()) {
             referee.received(now, name, job.connection.balancer, job.id, work);
+            referee.watcher().command(now, name, job.connection.balancer, job.id);
         }
         if (meter != null && meter.reached(now, work)) {
             // Sent more than it bears so soon after its start, it falls over and stays down.
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
@@ -0,0 +1,552 @@
+package frostrelay.rig.campaign;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import frostrelay.rig.client.Front;
+import frostrelay.rig.client.OpenLoop;
+import frostrelay.rig.client.Tally;
+import frostrelay.rig.day.Day;
+import frostrelay.rig.day.DayFile;
+import frostrelay.rig.discovery.Member;
+import frostrelay.rig.fleet.BalancerConfig;
+import frostrelay.rig.fleet.BalancerProcess;
+import frostrelay.rig.fleet.Fleet;
+import frostrelay.rig.fleet.Program;
+import frostrelay.rig.referee.Rule;
+import frostrelay.rig.wire.Loopback;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.IntStream;
+
+/** Plays one schedule with real processes: starts them, does what it says, heals, ends them in order and judges. */
+public final class CampaignPlay {
+    /** How a balancer is started, given properties of its JVM. */
+    public interface Launch {
+        /** The whole command line. */
+        List<String> command(List<String> properties);
+    }
+
+    /** What a play came to. {@code folder}: keeps its files where there are violations. */
+    public record Outcome(Schedule schedule, List<Violation> violations, Map<String, Object> figures, Path folder) {
+    }
+
+    private static final long MILLISECOND = 1_000_000L;
+    private static final Duration CALL = Duration.ofSeconds(2);
+    private static final long STOP_MS = 6_000;
+    private static final long STARVE_SLICE_MS = 100;
+    private static final String DAY = """
+            seed = %d
+            length = "%dms"
+            [fleet]
+            caches = %d
+            balancers = %d
+            discovery-lateness = "0ms"
+            [load]
+            rate = "%d/s"
+            keys = 400
+            retries = 1
+            [[class]]
+            name = "read"
+            share = 0.9
+            [[class]]
+            name = "use"
+            share = 0.06
+            aim = "600ms"
+            deadline = "2s"
+            effect = "never-twice"
+            [[class]]
+            name = "note"
+            share = 0.04
+            effect = "keyed"
+            [[tenant]]
+            name = "t"
+            share = 1.0
+            """;
+    private static final int RATE_EACH = 40;
+
+    private final Schedule schedule;
+    private final Path folder;
+    private final Launch launch;
+    private final String defect;
+    private final History history = new History();
+    private final List<Violation> violations = new CopyOnWriteArrayList<>();
+    private final List<String> names;
+    private final List<InetSocketAddress> talks = new ArrayList<>();
+    private final BalancerProcess[] running;
+    private final String[] configs;
+    private final long[] offsets;
+    private final ScheduledExecutorService thread = Executors.newScheduledThreadPool(4, task -> {
+        Thread fresh = new Thread(task, "campaign");
+        fresh.setDaemon(true);
+        return fresh;
+    });
+    private final HttpClient http = HttpClient.newBuilder().connectTimeout(CALL).build();
+    private DatagramRelay relay;
+    private Fleet fleet;
+    private Front front;
+    private int second;
+
+    private CampaignPlay(Schedule schedule, Path folder, Launch launch, String defect) {
+        this.schedule = schedule;
+        this.folder = folder;
+        this.launch = launch;
+        this.defect = defect;
+        names = IntStream.range(0, schedule.processes()).mapToObj(BalancerConfig::name).toList();
+        running = new BalancerProcess[names.size()];
+        configs = new String[names.size()];
+        offsets = new long[names.size()];
+    }
+
+    /** Plays it; {@code defect}: put into the last balancer, or null. */
+    public static Outcome play(Schedule schedule, Path folder, Launch launch, String defect)
+            throws IOException, InterruptedException {
+        CampaignPlay play = new CampaignPlay(schedule, folder, launch, defect);
+        try {
+            return play.play();
+        } finally {
+            play.thread.shutdownNow();
+        }
+    }
+
+    private Day day() {
+        return DayFile.parse("campaign", String.format(Locale.ROOT, DAY, schedule.seed() & 0xffff,
+                schedule.length() / MILLISECOND, Schedule.CACHES, names.size(), RATE_EACH * names.size()));
+    }
+
+    private Program program(int place) {
+        Path own = folder.resolve(names.get(place));
+        List<String> properties = new ArrayList<>(List.of("-Dfrostrelay.peers=on", "-Dfrostrelay.audit=on",
+                "-Dfrostrelay.audit.each=on", "-Dfrostrelay.audit.folder=audit",
+                "-Dfrostrelay.campaign.wall=" + own.resolve("wall")));
+        if (defect != null && place == names.size() - 1) {
+            properties.add("-Dfrostrelay.campaign.defect=" + defect);
+        }
+        return new Program(launch.command(properties));
+    }
+
+    private Outcome play() throws IOException, InterruptedException {
+        Files.createDirectories(folder);
+        for (int i = 0; i < names.size(); i++) {
+            talks.add(Loopback.port(Fleet.freePort()));
+            Files.createDirectories(folder.resolve(names.get(i)));
+            Files.writeString(folder.resolve(names.get(i)).resolve("wall"), "0");
+        }
+        io.netty.channel.nio.NioEventLoopGroup group = new io.netty.channel.nio.NioEventLoopGroup(1);
+        try {
+            relay = new DatagramRelay(group.next(), talks, schedule.seed());
+            fleet = new Fleet(day(), folder, new Fleet.Each() {
+                @Override
+                public Program program(int place) {
+                    return CampaignPlay.this.program(place);
+                }
+
+                @Override
+                public Map<String, Object> further(int place) {
+                    Map<String, Object> further = new LinkedHashMap<>();
+                    further.put("version", 0);
+                    further.put("peer_listen", Loopback.text(talks.get(place)));
+                    further.put("peers", relay.peers(place));
+                    return further;
+                }
+            });
+            try {
+                return run();
+            } finally {
+                for (BalancerProcess process : running) {
+                    if (process != null) {
+                        process.close();
+                    }
+                }
+                fleet.close();
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+    }
+
+    private Outcome run() throws IOException, InterruptedException {
+        fleet.referee().watch(history);
+        fleet.discovery().show();
+        for (int i = 0; i < names.size(); i++) {
+            running[i] = fleet.balancers().get(i).process();
+            configs[i] = fleet.balancers().get(i).config();
+            history.process(i, History.What.WALL, 0);
+            history.configured(i, 0, digest(configs[i]));
+            history.process(i, History.What.STARTED, 0);
+        }
+        fleet.startBalancers();
+        front = new Front(fleet.balancers().stream().map(Fleet.Place::listen).toList());
+        Tally tally = new Tally();
+        OpenLoop load = new OpenLoop(fleet.day(), front, fleet.loop(), fleet.referee(), tally);
+        long begin = history.moment();
+        for (Happening one : schedule.happenings()) {
+            thread.schedule(() -> guarded(one), one.at(), TimeUnit.NANOSECONDS);
+        }
+        Future<Tally> done = load.run();
+        try {
+            done.get(schedule.length() + 30_000 * MILLISECOND, TimeUnit.NANOSECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            violations.add(new Violation("play", "requests are still open long after the last: " + e));
+        }
+        long left = begin + schedule.length() - history.moment();
+        if (left > 0) {
+            Thread.sleep(left / MILLISECOND);
+        }
+        Map<String, Object> consoles = consoles();
+        long end = history.moment();
+        for (BalancerProcess process : running) {
+            if (process.isAlive()) {
+                process.terminate(STOP_MS);
+            }
+        }
+        return judge(tally, end, consoles);
+    }
+
+    private Outcome judge(Tally tally, long end, Map<String, Object> consoles) throws IOException {
+        Map<String, List<AuditRecord>> records = new LinkedHashMap<>();
+        for (String name : names) {
+            List<AuditRecord> lives = new ArrayList<>();
+            for (Path kept : folders(name)) {
+                lives.addAll(AuditRecord.read(name, kept));
+            }
+            records.put(name, lives);
+        }
+        history.write(folder.resolve("history.jsonl"));
+        Files.writeString(folder.resolve("schedule.toml"), schedule.toml());
+        Files.writeString(folder.resolve("consoles.json"), JSON.std.asString(consoles));
+        AuditCheck check = new AuditCheck(history, records, names, end);
+        violations.addAll(check.run());
+        for (Rule rule : List.of(Rule.RAN_TWICE, Rule.KEYED_TWICE, Rule.FOREIGN_ANSWER, Rule.TWO_ANSWERS)) {
+            if (fleet.referee().count(rule) > 0) {
+                violations.add(new Violation("rules", rule + ": " + fleet.referee().breaches()));
+            }
+        }
+        Map<String, Object> figures = new LinkedHashMap<>(check.figures());
+        long[] carried = relay.carried();
+        if (carried[2] > 256) {
+            violations.add(new Violation("datagrams", "one of " + carried[2] + " bytes"));
+        }
+        figures.put("asked", tally.asked());
+        figures.put("servedInTime", tally.count(Tally.End.IN_TIME));
+        figures.put("datagrams", carried[0]);
+        figures.put("bytesASecondEach", Math.round(carried[1] / (end / 1e9) / names.size()));
+        figures.put("lives", records.values().stream().mapToInt(List::size).sum());
+        return new Outcome(schedule, List.copyOf(violations), figures, folder);
+    }
+
+    /** All folders in which a balancer kept its record. */
+    private List<Path> folders(String name) throws IOException {
+        List<Path> folders = new ArrayList<>();
+        Path own = folder.resolve(name);
+        try (var all = Files.newDirectoryStream(own, "tmp*")) {
+            for (Path tmp : all) {
+                folders.add(tmp.resolve("audit"));
+                folders.add(tmp.resolve("audit-aside"));
+            }
+        }
+        return folders;
+    }
+
+    private Map<String, Object> consoles() {
+        Map<String, Object> all = new LinkedHashMap<>();
+        for (int i = 0; i < names.size(); i++) {
+            try {
+                String config = configs[i];
+                Object console = JSON.std.mapFrom(config).get("console");
+                HttpResponse<String> answer = http.send(HttpRequest.newBuilder(URI.create("http://" + console
+                        + "/ops/audit")).timeout(CALL).build(), HttpResponse.BodyHandlers.ofString());
+                all.put(names.get(i), JSON.std.mapFrom(answer.body()));
+            } catch (IOException | InterruptedException e) {
+                all.put(names.get(i), String.valueOf(e));
+            }
+        }
+        return all;
+    }
+
+    private static long digest(String config) throws IOException {
+        return SettingsDigest.settings((Map<?, ?>) JSON.std.mapFrom(config).get("settings"));
+    }
+
+    // What happens.
+
+    private void guarded(Happening one) {
+        try {
+            happen(one);
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            violations.add(new Violation("play", one.text() + " failed: " + e));
+        }
+    }
+
+    private interface Step {
+        void run() throws IOException, InterruptedException;
+    }
+
+    /** What ends a happening, at its end. */
+    private void later(Happening one, long from, Step undo) {
+        thread.schedule(() -> {
+            try {
+                undo.run();
+                history.span(from, one);
+            } catch (IOException | InterruptedException | RuntimeException e) {
+                violations.add(new Violation("play", "the end of " + one.text() + " failed: " + e));
+            }
+        }, one.length(), TimeUnit.NANOSECONDS);
+    }
+
+    private void ways(Happening one, java.util.function.UnaryOperator<DatagramRelay.Way> change) {
+        for (int from : one.who()) {
+            for (int to : one.whom()) {
+                if (from != to) {
+                    relay.way(from, to, change);
+                }
+            }
+        }
+    }
+
+    private void hurt(Happening one, java.util.function.UnaryOperator<DatagramRelay.Way> on,
+                      java.util.function.UnaryOperator<DatagramRelay.Way> off) {
+        long from = history.moment();
+        ways(one, on);
+        later(one, from, () -> ways(one, off));
+    }
+
+    private void happen(Happening one) throws IOException, InterruptedException {
+        long from = history.moment();
+        switch (one.kind()) {
+            case LOSS -> hurt(one, way -> way.lossy(one.amount()), way -> way.lossy(0));
+            case DELAY -> hurt(one, way -> way.delaying(MILLISECOND, (long) (one.amount() * MILLISECOND)),
+                    way -> way.delaying(0, 0));
+            case DOUBLE -> hurt(one, way -> way.doubling(one.amount()), way -> way.doubling(0));
+            case DAMAGE -> hurt(one, way -> way.damaging(one.amount()), way -> way.damaging(0));
+            case SILENCE -> hurt(one, way -> way.cutting(true), way -> way.cutting(false));
+            case PARTITION -> {
+                List<Integer> others = IntStream.range(0, names.size()).boxed().filter(i -> !one.who().contains(i)).toList();
+                Happening there = new Happening(one.at(), one.kind(), one.who(), others, 0, one.length());
+                Happening back = new Happening(one.at(), one.kind(), others, one.who(), 0, one.length());
+                ways(there, way -> way.cutting(true));
+                ways(back, way -> way.cutting(true));
+                later(one, from, () -> {
+                    ways(there, way -> way.cutting(false));
+                    ways(back, way -> way.cutting(false));
+                });
+            }
+            case FORGE -> Forgeries.all(one.who().get(0), schedule.seed()).forEach(bytes -> one.whom().forEach(to -> {
+                if (to.intValue() != one.who().get(0)) {
+                    relay.forge(one.who().get(0), to, bytes);
+                }
+            }));
+            case DISCOVERY_CUT -> {
+                one.who().forEach(i -> fleet.discovery().cut(names.get(i), true));
+                later(one, from, () -> one.who().forEach(i -> fleet.discovery().cut(names.get(i), false)));
+            }
+            case DISCOVERY_LATE -> {
+                one.who().forEach(i -> fleet.discovery().late(names.get(i), (long) (one.amount() * MILLISECOND)));
+                later(one, from, () -> one.who().forEach(i -> fleet.discovery().late(names.get(i), 0)));
+            }
+            case DISCOVERY_OLD -> {
+                one.who().forEach(i -> fleet.discovery().pin(names.get(i), true));
+                later(one, from, () -> one.who().forEach(i -> fleet.discovery().pin(names.get(i), false)));
+            }
+            case CACHE_CUT -> {
+                one.whom().forEach(cache -> one.who().forEach(i -> fleet.caches().get(cache).links().get(i).cut(true)));
+                later(one, from, () -> one.whom().forEach(cache -> one.who()
+                        .forEach(i -> fleet.caches().get(cache).links().get(i).cut(false))));
+            }
+            case DRAIN -> {
+                for (int cache : one.whom()) {
+                    fleet.discovery().change(new Member("cache-" + (cache + 1), Member.State.TERMINATING, 0));
+                }
+                later(one, from, () -> one.whom().forEach(cache -> fleet.discovery().change(
+                        new Member("cache-" + (cache + 1), Member.State.READY, 0))));
+            }
+            case CACHE_RESTART -> {
+                for (int cache : one.whom()) {
+                    Fleet.Cache met = fleet.caches().get(cache);
+                    met.server().restart(() -> fleet.discovery().change(new Member(met.server().name(),
+                            Member.State.READY, System.currentTimeMillis())));
+                }
+                history.span(from, one);
+            }
+            case HOLD -> {
+                hold(one, true);
+                later(one, from, () -> hold(one, false));
+            }
+            case CONFIG, CONFIG_OTHER, CONFIG_BAD -> configure(one);
+            case WALL_CLOCK -> {
+                for (int i : one.who()) {
+                    Files.writeString(folder.resolve(names.get(i)).resolve("wall"), Long.toString((long) one.amount()));
+                    offsets[i] = (long) one.amount();
+                    history.process(i, History.What.WALL, offsets[i]);
+                }
+            }
+            default -> processes(one, from);
+        }
+    }
+
+    private void hold(Happening one, boolean on) throws IOException, InterruptedException {
+        for (int i : one.who()) {
+            for (int cache : one.whom()) {
+                try {
+                    Object console = JSON.std.mapFrom(configs[i]).get("console");
+                    http.send(HttpRequest.newBuilder(URI.create("http://" + console + "/ops/template-caches/"
+                            + (on ? "down" : "up"))).timeout(CALL).POST(HttpRequest.BodyPublishers.ofString(
+                            "{\"id\":\"cache-" + (cache + 1) + "\"}")).build(), HttpResponse.BodyHandlers.ofString());
+                } catch (IOException e) {
+                    // Its process is away, or frozen: it was not told.
+                }
+            }
+        }
+    }
+
+    private void configure(Happening one) throws IOException {
+        for (int i : one.who()) {
+            if (one.kind() == Happening.Kind.CONFIG_BAD) {
+                running[i].configure(configs[i].substring(0, configs[i].length() / 2));
+                history.configured(i, -1, 0);
+                running[i].hangUp();
+                running[i].configure(configs[i]);
+                continue;
+            }
+            Map<String, Object> config = new LinkedHashMap<>(JSON.std.mapFrom(configs[i]));
+            long number = (long) one.amount();
+            config.put("version", number);
+            Map<String, Object> settings = new LinkedHashMap<>(map(config.get("settings")));
+            Map<String, Object> ceilings = new LinkedHashMap<>(map(settings.get("ceilings")));
+            // The content is the number's, and that of the other one is different.
+            ceilings.put("max-retry-after-ns", 1_000_000_000L + number * 1_000_000
+                    + (one.kind() == Happening.Kind.CONFIG_OTHER ? 500_000 : 0));
+            settings.put("ceilings", ceilings);
+            config.put("settings", settings);
+            configs[i] = JSON.std.asString(config);
+            history.configured(i, number, digest(configs[i]));
+            running[i].configure(configs[i]);
+            if (running[i].isAlive()) {
+                running[i].hangUp();
+            }
+        }
+    }
+
+    private static Map<String, Object> map(Object value) {
+        Map<String, Object> copy = new LinkedHashMap<>();
+        ((Map<?, ?>) value).forEach((name, inner) -> copy.put(String.valueOf(name), inner));
+        return copy;
+    }
+
+    private void processes(Happening one, long from) throws IOException, InterruptedException {
+        for (int i : one.who()) {
+            BalancerProcess process = running[i];
+            switch (one.kind()) {
+                case KILL, KILL_EMPTY -> {
+                    front.stopped(i);
+                    history.process(i, History.What.KILLED, 0);
+                    process.kill();
+                    later(one, from, () -> {
+                        if (one.kind() == Happening.Kind.KILL_EMPTY) {
+                            Files.move(process.folder().resolve("tmp"), process.folder().resolve("tmp-" + from));
+                            Files.createDirectories(process.folder().resolve("tmp"));
+                        }
+                        start(i, process);
+                    });
+                }
+                case TERMINATE -> {
+                    front.stopped(i);
+                    history.process(i, History.What.TERMINATED, 0);
+                    process.terminate(STOP_MS);
+                    later(one, from, () -> start(i, process));
+                }
+                case FREEZE -> {
+                    history.process(i, History.What.FROZEN, 0);
+                    process.signal("STOP");
+                    later(one, from, () -> {
+                        process.signal("CONT");
+                        history.process(i, History.What.THAWED, 0);
+                    });
+                }
+                case STARVE -> starve(one, i, process, from);
+                case DISK -> {
+                    Path audit = process.folder().resolve("tmp/audit");
+                    Path aside = process.folder().resolve("tmp/audit-aside");
+                    if (Files.isDirectory(audit)) {
+                        Files.move(audit, aside);
+                    }
+                    Files.writeString(audit, "not a folder");
+                    later(one, from, () -> Files.deleteIfExists(audit));
+                }
+                default -> upgrade(one, i, process, from);
+            }
+        }
+    }
+
+    private void start(int place, BalancerProcess process) throws IOException, InterruptedException {
+        history.process(place, History.What.STARTED, offsets[place]);
+        process.start();
+        process.awaitReady();
+    }
+
+    /** The process runs for a part of each slice only. */
+    private void starve(Happening one, int place, BalancerProcess process, long from)
+            throws IOException, InterruptedException {
+        history.process(place, History.What.STARVED, 0);
+        long end = from + one.length();
+        while (history.moment() < end) {
+            process.signal("STOP");
+            Thread.sleep((long) (STARVE_SLICE_MS * (1 - one.amount())));
+            process.signal("CONT");
+            Thread.sleep((long) (STARVE_SLICE_MS * one.amount()));
+        }
+        history.process(place, History.What.FED, 0);
+        history.span(from, one);
+    }
+
+    /** Another process of the balancer, with another console; the old one is ended once it serves. */
+    private void upgrade(Happening one, int place, BalancerProcess old, long from) throws IOException, InterruptedException {
+        Map<String, Object> config = new LinkedHashMap<>(JSON.std.mapFrom(configs[place]));
+        config.put("console", Loopback.text(Loopback.port(Fleet.freePort())));
+        configs[place] = JSON.std.asString(config);
+        Fleet.Place at = fleet.balancers().get(place);
+        BalancerProcess fresh = new BalancerProcess(names.get(place), program(place), old.folder(), at.listen(),
+                configs[place]);
+        second++;
+        history.process(place, History.What.STARTED, offsets[place]);
+        fresh.start();
+        long limit = history.moment() + 10_000 * MILLISECOND;
+        while (history.moment() < limit && !ready((String) config.get("console"))) {
+            Thread.sleep(20);
+        }
+        running[place] = fresh;
+        Thread.sleep(500);
+        front.stopped(place);
+        history.process(place, History.What.TERMINATED, 0);
+        old.terminate(STOP_MS);
+        // The younger one has been up all the while.
+        history.process(place, History.What.FED, 0);
+        history.span(from, one);
+    }
+
+    private boolean ready(String console) throws InterruptedException {
+        try {
+            return http.send(HttpRequest.newBuilder(URI.create("http://" + console + "/ops/readiness")).timeout(CALL)
+                    .build(), HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/campaign/Forgeries.java
@@ -0,0 +1,58 @@
+package frostrelay.rig.campaign;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.zip.CRC32C;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Datagrams that a broken or hostile balancer may send, by the wire form in docs/design/peers.md. */
+final class Forgeries {
+    private Forgeries() {
+    }
+
+    /** As from one balancer: whole and lying, damaged, foreign, empty, too long, endless in their own lengths. */
+    static List<byte[]> all(int sender, long seed) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        List<byte[]> all = new ArrayList<>();
+        byte[] noise = new byte[200];
+        random.nextBytes(noise);
+        all.add(noise);
+        all.add(new byte[0]);
+        all.add(new byte[400]);
+        // A stamp with list and configuration 2^63 - 1, which somebody is said to act on.
+        ByteBuffer far = head(sender);
+        far.put((byte) 2).put((byte) 48).putInt(1).putLong(Long.MAX_VALUE).putLong(1).putLong(Long.MAX_VALUE)
+                .putLong(1).putLong(0).putInt(0);
+        all.add(sum(far));
+        // An incarnation behind all that can be, of balancer 1, and that it is gone.
+        ByteBuffer gone = head(sender);
+        gone.put((byte) 4).put((byte) 10).putShort((short) 0).putShort((short) 0xffff).putInt(-1).putShort((short) sender);
+        all.add(sum(gone));
+        // Sections that say they are longer than the datagram.
+        ByteBuffer endless = head(sender);
+        endless.put((byte) 1).put((byte) 255).putInt(7);
+        all.add(sum(endless));
+        // A build of the far future.
+        ByteBuffer newer = head(sender);
+        newer.put(3, (byte) 200);
+        all.add(sum(newer));
+        byte[] torn = sum(head(sender));
+        all.add(Arrays.copyOf(torn, torn.length - 3));
+        return all;
+    }
+
+    private static ByteBuffer head(int sender) {
+        return ByteBuffer.allocate(256).putShort((short) 0xF05E).put((byte) 1).put((byte) 1).put((byte) 4).put((byte) 0)
+                .putShort((short) sender).putShort((short) 0).putInt(1).putInt(99).putShort((short) 0xffff);
+    }
+
+    private static byte[] sum(ByteBuffer out) {
+        CRC32C crc = new CRC32C();
+        crc.update(out.array(), 0, out.position());
+        out.putInt((int) crc.getValue());
+        return Arrays.copyOf(out.array(), out.position());
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/campaign/Happening.java
@@ -0,0 +1,69 @@
+package frostrelay.rig.campaign;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Something that a campaign does. {@code at} and {@code length}: nanoseconds, from the play's start; {@code who} and
+ * {@code whom}: what {@link Kind} says; {@code amount}: likewise.
+ */
+public record Happening(long at, Kind kind, List<Integer> who, List<Integer> whom, double amount, long length) {
+    /** What can happen. */
+    public enum Kind {
+        LOSS("Datagrams from who to whom are lost: amount is the part of 1."),
+        DELAY("Datagrams from who to whom take up to amount milliseconds, and so overtake each other."),
+        DOUBLE("Datagrams from who to whom come twice: amount is the part of 1."),
+        DAMAGE("Datagrams from who to whom have a bit flipped: amount is the part of 1."),
+        SILENCE("Nothing comes from who to whom; the other way is as it was."),
+        PARTITION("Balancers who and the others do not hear each other."),
+        FORGE("Whom get a datagram as from who that claims what cannot be."),
+        DISCOVERY_CUT("Balancers who do not reach discovery."),
+        DISCOVERY_LATE("Discovery tells who changes amount milliseconds later."),
+        DISCOVERY_OLD("Discovery tells who nothing newer than it has."),
+        CACHE_CUT("Balancers who do not reach caches whom."),
+        KILL("SIGKILL to who; started again when it is over."),
+        KILL_EMPTY("Likewise, and its temporary files are gone at the start."),
+        FREEZE("SIGSTOP to who, SIGCONT when it is over."),
+        TERMINATE("SIGTERM to who; started again when it is over."),
+        UPGRADE("Another process of who starts; the old one is ended once it serves."),
+        STARVE("Processes of who run for a part of the time only: amount of 1."),
+        WALL_CLOCK("The wall clocks of who are off by amount milliseconds."),
+        DISK("The audit's folder of who cannot be written: a file stands in its place."),
+        CONFIG("Who get configuration number amount and are told so."),
+        CONFIG_OTHER("Who get other content under number amount, and are told so."),
+        CONFIG_BAD("Who get half of a configuration and are told so."),
+        DRAIN("Cache whom drains; it is back when it is over."),
+        HOLD("Operators hold cache whom at balancers who."),
+        CACHE_RESTART("Cache whom is killed and starts cold.");
+
+        /** What it does. */
+        public final String meaning;
+
+        Kind(String meaning) {
+            this.meaning = meaning;
+        }
+
+        /** As files and people write it. */
+        public String word() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+
+        /** All words. */
+        public static List<String> words() {
+            return Arrays.stream(values()).map(Kind::word).toList();
+        }
+    }
+
+    /** The moment at which it is over, for what has an end. */
+    public long end() {
+        return at + length;
+    }
+
+    /** In a few words. */
+    public String text() {
+        return String.format(Locale.ROOT, "%.1fs %s%s%s%s%s", at / 1e9, kind.word(),
+                who.isEmpty() ? "" : " who " + who, whom.isEmpty() ? "" : " whom " + whom,
+                amount == 0 ? "" : " amount " + amount, length == 0 ? "" : String.format(Locale.ROOT, " for %.1fs", length / 1e9));
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
@@ -0,0 +1,118 @@
+package frostrelay.rig.campaign;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** What a play does and when. {@code length}: nanoseconds, from when all balancers serve until it is healed and judged. */
+public record Schedule(String name, long seed, int processes, long length, List<Happening> happenings) {
+    private static final long SECOND = 1_000_000_000L;
+    /** Everything is healed so long before the end: what is to converge has that time. */
+    private static final long SETTLE = 3 * SECOND;
+    private static final long FIRST = SECOND / 2;
+    static final int CACHES = 6;
+
+    /** Drawn by a seed: a change of configuration and of the list always, and six to nine faults among them. */
+    public static Schedule drawn(long seed, int processes, long length) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 0x9E3779B97F4A7C15L + processes);
+        List<Happening> all = new ArrayList<>();
+        long span = length - SETTLE - FIRST;
+        int number = 1;
+        for (int i = 0; i < 2; i++) {
+            // Not all of them always: a configuration that reaches a part of the fleet.
+            List<Integer> who = some(random, processes, random.nextBoolean() ? processes : 1 + random.nextInt(processes));
+            all.add(new Happening(FIRST + random.nextLong(span), random.nextInt(4) == 0 ? Happening.Kind.CONFIG_OTHER
+                    : Happening.Kind.CONFIG, who, List.of(), number, 0));
+            number += random.nextInt(3) == 0 ? 0 : 1;
+        }
+        for (int i = 0; i < 3; i++) {
+            long at = FIRST + random.nextLong(span * 3 / 4);
+            all.add(new Happening(at, Happening.Kind.DRAIN, List.of(), List.of(random.nextInt(CACHES)), 0,
+                    Math.min(FIRST + span - at, SECOND + random.nextLong(2 * SECOND))));
+        }
+        int faults = 6 + random.nextInt(4);
+        List<Integer> killed = new ArrayList<>();
+        for (int i = 0; i < faults; i++) {
+            add(all, random, processes, span, killed);
+        }
+        all.sort((a, b) -> Long.compare(a.at(), b.at()));
+        return new Schedule("seed-" + seed, seed, processes, length, all);
+    }
+
+    private static void add(List<Happening> all, UniformRandomProvider random, int processes, long span,
+                            List<Integer> killed) {
+        Happening.Kind[] kinds = Happening.Kind.values();
+        Happening.Kind kind = kinds[random.nextInt(kinds.length)];
+        long at = FIRST + random.nextLong(span * 3 / 4);
+        long length = Math.min(FIRST + span - at, SECOND / 2 + random.nextLong(3 * SECOND));
+        List<Integer> one = some(random, processes, 1);
+        List<Integer> part = some(random, processes, 1 + random.nextInt(Math.max(1, processes / 2)));
+        List<Integer> every = some(random, processes, processes);
+        List<Integer> cache = List.of(random.nextInt(CACHES));
+        switch (kind) {
+            case LOSS -> all.add(new Happening(at, kind, every, every, 0.1 + 0.3 * random.nextDouble(), length));
+            case DELAY -> all.add(new Happening(at, kind, every, every, 20 + random.nextInt(280), length));
+            case DOUBLE, DAMAGE -> all.add(new Happening(at, kind, every, every, 0.3 * random.nextDouble(), length));
+            case SILENCE -> all.add(new Happening(at, kind, one, every, 0, length));
+            case PARTITION, DISCOVERY_CUT, DISCOVERY_OLD, HOLD -> all.add(new Happening(at, kind, part,
+                    kind == Happening.Kind.HOLD ? cache : List.of(), 0, length));
+            case FORGE -> all.add(new Happening(at, kind, one, every, 0, 0));
+            case DISCOVERY_LATE -> all.add(new Happening(at, kind, part, List.of(), 200 + random.nextInt(1_500), length));
+            case CACHE_CUT -> all.add(new Happening(at, kind, one, cache, 0, length));
+            case KILL, KILL_EMPTY, FREEZE, TERMINATE, UPGRADE, STARVE -> {
+                // One fault of a process at a time for each: what two together do is their sum.
+                if (killed.contains(one.get(0))) {
+                    return;
+                }
+                killed.addAll(one);
+                all.add(new Happening(at, kind, one, List.of(), kind == Happening.Kind.STARVE ? 0.3 : 0, length));
+            }
+            case WALL_CLOCK -> all.add(new Happening(at, kind, one, List.of(),
+                    (random.nextBoolean() ? -1 : 1) * (1_000 + random.nextInt(30_000)), 0));
+            case DISK -> all.add(new Happening(at, kind, one, List.of(), 0, length));
+            case CONFIG, CONFIG_OTHER -> {
+                // There are some always.
+            }
+            case CONFIG_BAD -> all.add(new Happening(at, kind, part, List.of(), 0, 0));
+            case DRAIN, CACHE_RESTART -> all.add(new Happening(at, kind, List.of(), cache, 0,
+                    kind == Happening.Kind.DRAIN ? length : 0));
+            default -> throw new IllegalStateException(kind.word());
+        }
+    }
+
+    private static List<Integer> some(UniformRandomProvider random, int of, int count) {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < of; i++) {
+            all.add(i);
+        }
+        while (all.size() > count) {
+            all.remove(random.nextInt(all.size()));
+        }
+        return List.copyOf(all);
+    }
+
+    /** The same without one of its happenings. */
+    Schedule without(int place) {
+        List<Happening> fewer = new ArrayList<>(happenings);
+        fewer.remove(place);
+        return new Schedule(name, seed, processes, length, List.copyOf(fewer));
+    }
+
+    /** As a file that {@link ScheduleFile} reads. */
+    public String toml() {
+        StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
+                "name = \"%s\"%nseed = %d%nprocesses = %d%nlength = \"%dms\"%n", name, seed, processes, length / 1_000_000));
+        for (Happening one : happenings) {
+            text.append(String.format(Locale.ROOT, "%n[[happening]]%nat = \"%dms\"%nkind = \"%s\"%nwho = \"%s\"%nwhom = \"%s\"%n"
+                    + "amount = %s%nfor = \"%dms\"%n", one.at() / 1_000_000, one.kind().word(), list(one.who()),
+                    list(one.whom()), one.amount(), one.length() / 1_000_000));
+        }
+        return text.toString();
+    }
+
+    private static String list(List<Integer> places) {
+        return String.join(" ", places.stream().map(place -> Integer.toString(place + 1)).toList());
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/frostrelay/rig/campaign/Violation.java
@@ -0,0 +1,5 @@
+package frostrelay.rig.campaign;
+
+/** What a checker found: which check, and the facts. */
+public record Violation(String check, String what) {
+}
--- a/rig/src/main/java/frostrelay/rig/discovery/DiscoveryServer.java
+++ b/rig/src/main/java/frostrelay/rig/discovery/DiscoveryServer.java
@@ -48,13 +48,27 @@
     private record Entry(long rev, Member member) {
     }
 
-    /** One balancer's calls: where the caches are from there. */
-    private record Caller(String balancer, Map<String, String> endpoints) {
+    /** One balancer's calls: where the caches are from there, and how far it is told. */
+    private static final class Caller {
+        final String balancer;
+        final Map<String, String> endpoints;
+        long seen;
+        long late;
+        boolean cut;
+        boolean pinned;
+
+        Caller(String balancer, Map<String, String> endpoints, long seen) {
+            this.balancer = balancer;
+            this.endpoints = Map.copyOf(endpoints);
+            this.seen = seen;
+        }
     }
 
     private final EventLoop loop;
     private final Referee referee;
-    private final Map<String, Entry> entries = new TreeMap<>();
+    /** What was ever entered of each cache, the newest last: some are told older lists. */
+    private final Map<String, List<Entry>> entries = new TreeMap<>();
+    private final Map<String, Caller> callers = new LinkedHashMap<>();
     private final Set<Watch> watches = new LinkedHashSet<>();
     private final Map<String, Map<String, Long>> knownBoots = new LinkedHashMap<>();
     private long rev = 1;
@@ -70,7 +84,8 @@
 
     /** Listens for one balancer, for which the caches are at {@code endpoints}, ADDRESS:PORT by uid. */
     public InetSocketAddress listen(String balancer, Map<String, String> endpoints) throws InterruptedException {
-        Caller caller = new Caller(balancer, Map.copyOf(endpoints));
+        Caller caller = loop.submit(() -> callers.computeIfAbsent(balancer,
+                name -> new Caller(name, endpoints, rev))).syncUninterruptibly().getNow();
         return (InetSocketAddress) new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -84,14 +99,86 @@
     /** What is so from now on; it is told once the lateness has passed. */
     public void change(Member member) {
         loop.execute(() -> loop.schedule(() -> {
-            entries.put(member.uid(), new Entry(++rev, member));
-            List.copyOf(watches).forEach(Watch::news);
+            rev++;
+            enter(member);
+            referee.watcher().version(System.nanoTime(), rev, states(rev));
+            long fresh = rev;
+            for (Caller caller : callers.values()) {
+                if (caller.late > 0) {
+                    loop.schedule(() -> see(caller, fresh), caller.late, TimeUnit.NANOSECONDS);
+                } else {
+                    see(caller, fresh);
+                }
+            }
         }, lateness, TimeUnit.NANOSECONDS));
     }
 
+    private void enter(Member member) {
+        entries.computeIfAbsent(member.uid(), uid -> new ArrayList<>()).add(new Entry(rev, member));
+    }
+
+    private void see(Caller caller, long fresh) {
+        if (caller.pinned || fresh <= caller.seen) {
+            return;
+        }
+        caller.seen = fresh;
+        for (Watch watch : List.copyOf(watches)) {
+            if (watch.caller == caller) {
+                watch.news();
+            }
+        }
+    }
+
+    /** What the list of a version says of each cache that it names, in discovery's words. */
+    private Map<String, String> states(long upTo) {
+        Map<String, String> states = new LinkedHashMap<>();
+        since(0, upTo).stream().filter(member -> member.state() != Member.State.GONE)
+                .forEach(member -> states.put(member.uid(), member.state().word + '|' + member.bootMs()));
+        return states;
+    }
+
+    /** Tells the watcher how the list stands. */
+    public void show() {
+        loop.submit(() -> referee.watcher().version(System.nanoTime(), rev, states(rev))).syncUninterruptibly();
+    }
+
+    /** One balancer can or cannot reach discovery: its calls break. */
+    public void cut(String balancer, boolean on) {
+        loop.execute(() -> {
+            Caller caller = callers.get(balancer);
+            caller.cut = on;
+            if (on) {
+                List.copyOf(watches).stream().filter(watch -> watch.caller == caller)
+                        .forEach(watch -> watch.channel.close());
+            }
+        });
+    }
+
+    /** One balancer is told of changes this much later than others, in nanoseconds. */
+    public void late(String balancer, long time) {
+        loop.execute(() -> {
+            Caller caller = callers.get(balancer);
+            caller.late = time;
+            if (time == 0) {
+                see(caller, rev);
+            }
+        });
+    }
+
+    /** One balancer is told nothing newer than what it was told last, or all of it again. */
+    public void pin(String balancer, boolean on) {
+        loop.execute(() -> {
+            Caller caller = callers.get(balancer);
+            caller.pinned = on;
+            if (!on) {
+                see(caller, rev);
+            }
+        });
+    }
+
     /** What is so before anything begins: it is not late. */
     public void known(Member member) {
-        loop.submit(() -> entries.put(member.uid(), new Entry(rev, member))).syncUninterruptibly();
+        loop.submit(() -> enter(member)).syncUninterruptibly();
     }
 
     /** Further changes are told this much later, in nanoseconds. */
@@ -109,18 +196,26 @@
         });
     }
 
-    private List<Member> since(long known) {
+    private List<Member> since(long known, long upTo) {
         List<Member> members = new ArrayList<>();
-        entries.values().stream().filter(entry -> entry.rev > known).forEach(entry -> members.add(entry.member));
+        for (List<Entry> history : entries.values()) {
+            Entry last = null;
+            for (Entry entry : history) {
+                last = entry.rev <= upTo ? entry : last;
+            }
+            if (last != null && last.rev > known) {
+                members.add(last.member);
+            }
+        }
         return members;
     }
 
     /** The whole list as a balancer sees it, in discovery's form. */
     public Map<String, Object> list(Map<String, String> endpoints) {
-        return loop.submit(() -> json(true, since(0), endpoints)).syncUninterruptibly().getNow();
+        return loop.submit(() -> json(true, rev, since(0, rev), endpoints)).syncUninterruptibly().getNow();
     }
 
-    private Map<String, Object> json(boolean all, List<Member> members, Map<String, String> endpoints) {
+    private Map<String, Object> json(boolean all, long upTo, List<Member> members, Map<String, String> endpoints) {
         List<Object> targets = new ArrayList<>();
         for (Member member : members) {
             if (all && member.state() == Member.State.GONE || !endpoints.containsKey(member.uid())) {
@@ -138,7 +233,7 @@
             targets.add(target);
         }
         Map<String, Object> list = new LinkedHashMap<>();
-        list.put("rev", rev);
+        list.put("rev", upTo);
         list.put("all", all);
         list.put("targets", targets);
         return list;
@@ -146,8 +241,9 @@
 
     private void answer(Channel channel, Caller caller, boolean all, List<Member> members) {
         long now = System.nanoTime();
+        referee.watcher().told(now, caller.balancer, caller.seen);
         try {
-            byte[] body = JSON.std.asString(json(all, members, caller.endpoints))
+            byte[] body = JSON.std.asString(json(all, caller.seen, members, caller.endpoints))
                     .getBytes(StandardCharsets.UTF_8);
             respond(channel, HttpResponseStatus.OK, body);
         } catch (IOException e) {
@@ -188,14 +284,14 @@
             watches.add(this);
             limit = loop.schedule(this::news, waitMs, TimeUnit.MILLISECONDS);
             channel.closeFuture().addListener(closed -> end());
-            if (rev > known) {
+            if (caller.seen > known) {
                 news();
             }
         }
 
         void news() {
             end();
-            answer(channel, caller, false, since(known));
+            answer(channel, caller, false, since(known, caller.seen));
         }
 
         private void end() {
@@ -214,7 +310,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             QueryStringDecoder query = new QueryStringDecoder(request.uri());
-            if (down) {
+            if (down || caller.cut) {
                 respond(ctx.channel(), HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
             } else if (!query.path().equals("/catalog/members")) {
                 respond(ctx.channel(), HttpResponseStatus.NOT_FOUND, new byte[0]);
@@ -228,7 +324,7 @@
                     respond(ctx.channel(), HttpResponseStatus.BAD_REQUEST, new byte[0]);
                 }
             } else {
-                answer(ctx.channel(), caller, true, since(0));
+                answer(ctx.channel(), caller, true, since(0, caller.seen));
             }
         }
 
--- a/rig/src/main/java/frostrelay/rig/fleet/BalancerConfig.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/BalancerConfig.java
@@ -23,13 +23,17 @@
     private BalancerConfig() {
     }
 
-    /** {@code place}: the balancer's, from 0; addresses as ADDRESS:PORT; {@code known}: the list in discovery's form. */
+    /**
+     * {@code place}: the balancer's, from 0; addresses as ADDRESS:PORT; {@code known}: the list in discovery's form;
+     * {@code further}: keys beside those, as {@code peers} with which balancers are allowed to talk.
+     */
     public static String json(Day day, int place, String listen, String console, String discovery,
-                              Map<String, Object> known) {
+                              Map<String, Object> known, Map<String, Object> further) {
         Map<String, Object> config = object("name", name(place), "listen", listen, "console", console, "discovery",
                 discovery, "seed", String.format(Locale.ROOT, "%016x", day.seed() * 31 + place + 1),
                 "limits", object("cores", 1.0, "memory_mb", MEMORY_MB, "sockets", SOCKETS), "known", known,
-                "settings", settings(day, place));
+                "settings", settings(day, place, further.containsKey("peers")));
+        config.putAll(further);
         try {
             return JSON.std.asString(config);
         } catch (IOException e) {
@@ -38,11 +42,11 @@
     }
 
     /** The name of the balancer at a place. */
-    static String name(int place) {
+    public static String name(int place) {
         return "balancer-" + (place + 1);
     }
 
-    private static Map<String, Object> settings(Day day, int place) {
+    private static Map<String, Object> settings(Day day, int place, boolean talk) {
         List<Object> classes = new ArrayList<>();
         for (ClassSpec one : day.classes()) {
             classes.add(object("name", one.name(), "effect", one.effect() == Referee.Effect.REPEATABLE ? "retryable"
@@ -62,7 +66,7 @@
                 "callers", object("marks-retry", true), "over-share-worth", 0.1,
                 "ceilings", object("cancelling", true, "conn-idle-ns", 10 * SECOND, "connect-timeout-ns", SECOND / 4,
                         "max-attempts", MAX_ATTEMPTS, "max-open", MAX_OPEN, "max-retry-after-ns", SECOND,
-                        "may-duplicate", true, "multiplex", 1, "retry-after", true),
+                        "may-duplicate", true, "multiplex", 1, "peer-messages", talk, "retry-after", true),
                 "guarantees", object("ask-within-ns", 5 * SECOND, "cold-from", day.cache().warmth().from(),
                         "fall-ns", day.cache().warmth().window(), "stop-sending-within-ns", day.drainGrace(),
                         "tip-multiple", day.cache().warmth().multiple(),
--- a/rig/src/main/java/frostrelay/rig/fleet/BalancerProcess.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/BalancerProcess.java
@@ -98,9 +98,30 @@
     }
 
     /** Tells it that its configuration was replaced. */
-    public synchronized void hangUp() throws IOException {
+    public void hangUp() throws IOException {
+        signal("HUP");
+    }
+
+    /** Sends it a signal by its name, without SIG; waits until that is done. */
+    public synchronized void signal(String name) throws IOException {
         // Java sends no signal but those that end a process.
-        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start();
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Where its configuration, its log and its temporary files are. */
+    public Path folder() {
+        return folder;
+    }
+
+    /** Puts another configuration in its place, whole; it is not told. */
+    public void configure(String config) throws IOException {
+        Path draft = folder.resolve("config.draft");
+        Files.writeString(draft, config);
+        Files.move(draft, folder.resolve("config.json"), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
     }
 
     @Override
--- a/rig/src/main/java/frostrelay/rig/fleet/Fleet.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/Fleet.java
@@ -34,7 +34,7 @@
     private static final long DRAIN_SLACK = 150_000_000L;
 
     /** One cache with its ways, by balancer. */
-    record Cache(CacheServer server, List<Link> links) {
+    public record Cache(CacheServer server, List<Link> links) {
     }
 
     /** Where a balancer is and what it was given. {@code process}: null where it is started by hand. */
@@ -50,8 +50,32 @@
     private final List<Cache> caches = new ArrayList<>();
     private final List<Place> places = new ArrayList<>();
 
+    /** What differs from balancer to balancer beyond the day. */
+    public interface Each {
+        /** How it is started, or null where that is done by hand. */
+        Program program(int place);
+
+        /** Further keys of its configuration. */
+        Map<String, Object> further(int place);
+    }
+
     /** Builds and starts everything but the balancers. {@code folder}: where these keep their files. */
     public Fleet(Day day, Path folder, Program program) throws IOException, InterruptedException {
+        this(day, folder, new Each() {
+            @Override
+            public Program program(int place) {
+                return program;
+            }
+
+            @Override
+            public Map<String, Object> further(int place) {
+                return Map.of();
+            }
+        });
+    }
+
+    /** Likewise with balancers that differ. */
+    public Fleet(Day day, Path folder, Each each) throws IOException, InterruptedException {
         this.day = day;
         referee = new Referee(new Referee.Bounds(day.drainGrace() + DRAIN_SLACK, day.cache().warmth().window(),
                 day.cache().warmth(), day.cache().cores()));
@@ -79,23 +103,25 @@
             discovery.known(new Member(server.name(), Member.State.READY, 0));
         }
         for (int place = 0; place < day.balancers(); place++) {
-            places.add(place(place, endpoints.get(place), folder, program));
+            places.add(place(place, endpoints.get(place), folder, each));
         }
     }
 
-    private Place place(int place, Map<String, String> endpoints, Path folder, Program program)
+    private Place place(int place, Map<String, String> endpoints, Path folder, Each each)
             throws IOException, InterruptedException {
         String name = BalancerConfig.name(place);
         InetSocketAddress listen = Loopback.port(freePort());
         InetSocketAddress console = Loopback.port(freePort());
         String source = Loopback.text(discovery.listen(name, endpoints));
         String config = BalancerConfig.json(day, place, Loopback.text(listen), Loopback.text(console), source,
-                discovery.list(endpoints));
+                discovery.list(endpoints), each.further(place));
+        Program program = each.program(place);
         return new Place(name, listen, console, config, program == null ? null
                 : new BalancerProcess(name, program, folder.resolve(name), listen, config));
     }
 
-    private static int freePort() throws IOException {
+    /** A port that is free now. */
+    public static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
         }
@@ -130,11 +156,13 @@
         return archive;
     }
 
-    DiscoveryServer discovery() {
+    /** The stand-in for discovery. */
+    public DiscoveryServer discovery() {
         return discovery;
     }
 
-    List<Cache> caches() {
+    /** The caches with their links. */
+    public List<Cache> caches() {
         return caches;
     }
 
--- a/rig/src/main/java/frostrelay/rig/referee/Referee.java
+++ b/rig/src/main/java/frostrelay/rig/referee/Referee.java
@@ -30,6 +30,35 @@
     public record Bounds(long drain, long window, ColdMeter.Warmth warmth, double cores) {
     }
 
+    /** Hears what the stand-ins see, on their clock; on their threads. */
+    public interface Watcher {
+        /** A command came whole to a cache from a balancer. */
+        void command(long now, String cache, String balancer, String id);
+
+        /** A balancer is being told the list up to this version. */
+        void told(long now, String balancer, long rev);
+
+        /** From now on the list is this, by cache: what it says of each that it names. */
+        void version(long now, long rev, Map<String, String> caches);
+    }
+
+    private static final Watcher NOBODY = new Watcher() {
+        @Override
+        public void command(long now, String cache, String balancer, String id) {
+            // Nobody asked.
+        }
+
+        @Override
+        public void told(long now, String balancer, long rev) {
+            // Nobody asked.
+        }
+
+        @Override
+        public void version(long now, long rev, Map<String, String> caches) {
+            // Nobody asked.
+        }
+    };
+
     private static final int MOST_KEPT_BREACHES = 100;
     /** Requests this much older than the newest are forgotten: nothing can come for them any more. */
     private static final long FORGET = 60_000_000_000L;
@@ -66,12 +95,23 @@
     private final List<Breach> breaches = new ArrayList<>();
     private long attempts;
     private long firsts;
+    private volatile Watcher watcher = NOBODY;
 
     /** {@code bounds}: the figures of the rules. */
     public Referee(Bounds bounds) {
         this.bounds = bounds;
     }
 
+    /** From now on this one hears what the stand-ins see. */
+    public void watch(Watcher fresh) {
+        watcher = fresh;
+    }
+
+    /** Who hears it. */
+    public Watcher watcher() {
+        return watcher;
+    }
+
     // From clients.
 
     @Override
--- a/rig/src/test/java/frostrelay/rig/referee/RefereeTest.java
+++ b/rig/src/test/java/frostrelay/rig/referee/RefereeTest.java
@@ -8,6 +8,7 @@
 import frostrelay.rig.day.DayFile;
 import frostrelay.rig.fleet.DayPlay;
 import frostrelay.rig.fleet.Fleet;
+import frostrelay.rig.fleet.Program;
 import frostrelay.rig.fleet.Result;
 import frostrelay.rig.referee.FaultyBalancer.Fault;
 import java.nio.file.Path;
@@ -83,7 +84,7 @@
     private Result play(Case one) throws Exception {
         String rate = one.fault == Fault.SENDS_TO_THE_FIRST_ONLY ? "400/s" : "150/s";
         String work = one.fault == Fault.SENDS_TO_THE_FIRST_ONLY ? "5ms" : "1ms";
-        try (Fleet fleet = new Fleet(day(rate, work, one.day), folder, null);
+        try (Fleet fleet = new Fleet(day(rate, work, one.day), folder, (Program) null);
                 FaultyBalancer balancer = new FaultyBalancer(fleet.balancers().get(0).config(),
                         fleet.balancers().get(0).listen(), one.fault, 300)) {
             balancer.start();
