Begin a record anew behind a disk that refused its start, and end processes side by side

Change: what was lost is still noted for the head of the next part, and a part that takes nothing is removed without any older one going for it.

--- a/audit/src/main/java/frostrelay/audit/Framed.java
+++ b/audit/src/main/java/frostrelay/audit/Framed.java
@@ -23,6 +23,21 @@
         return bytes;
     }
 
+    /** Where the entries from a place on that fit into {@code room} end: behind one entry at least. */
+    public static int fitting(byte[] bytes, int from, long room) {
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        int end = from;
+        while (end < bytes.length) {
+            in.position(end);
+            int length = Codec.whole(in);
+            if (length < 0 || end > from && end + length - from > room) {
+                break;
+            }
+            end += length;
+        }
+        return end == from ? bytes.length : end;
+    }
+
     /** The whole entries that these bytes begin with. */
     public static List<Entry> entries(byte[] bytes) {
         ByteBuffer in = ByteBuffer.wrap(bytes);
--- a/audit/src/main/java/frostrelay/audit/Preamble.java
+++ b/audit/src/main/java/frostrelay/audit/Preamble.java
@@ -27,6 +27,11 @@
         }
     }
 
+    /** Whether nothing came before. */
+    public boolean isEmpty() {
+        return start == null;
+    }
+
     /** The entries, ended by {@link Entry.Resumes}. */
     public List<Entry> entries() {
         List<Entry> entries = new ArrayList<>();
--- a/audit/src/main/java/frostrelay/audit/store/RecordFolder.java
+++ b/audit/src/main/java/frostrelay/audit/store/RecordFolder.java
@@ -14,6 +14,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Executors;
@@ -45,16 +46,19 @@
         return fresh;
     });
     private final Object lock = new Object();
+    /** Of all entries that came before those that wait, also of those that were lost. Under the lock. */
+    private final Preamble preamble = new Preamble();
     private ByteBuffer waiting = ByteBuffer.allocate(64 * 1024);
     private long lost;
     private long lostFrom;
     private String lostWhy = "";
     // Of the thread.
     private FileChannel part;
+    private Path file;
     private int parts;
+    private long headBytes;
     private long written;
     private boolean broken;
-    private final Preamble preamble = new Preamble();
 
     /**
      * {@code life}: names this life's files, later lives sort behind earlier ones; {@code most}: bytes that all files of the folder may take;
@@ -84,6 +88,7 @@
     private void put(Entry entry) {
         byte[] bytes = Framed.of(entry);
         if (lost > 0 || waiting.position() + bytes.length > MOST_WAITING) {
+            preamble.note(entry);
             lose(entry.at(), 1, "the disk did not keep up");
             return;
         }
@@ -115,34 +120,51 @@
             waiting.flip().get(bytes);
             waiting.clear();
         }
+        int from = 0;
         try {
-            if (part == null || written + bytes.length > partBytes) {
-                open();
-            }
-            ByteBuffer out = ByteBuffer.wrap(bytes);
-            while (out.hasRemaining()) {
-                part.write(out, written + out.position());
+            while (from < bytes.length) {
+                if (part == null || written >= partBytes) {
+                    open();
+                }
+                int to = Framed.fitting(bytes, from, partBytes - written);
+                ByteBuffer out = ByteBuffer.wrap(bytes, from, to - from);
+                while (out.hasRemaining()) {
+                    part.write(out, written + out.position() - from);
+                }
+                if (written == headBytes) {
+                    makeRoom();
+                }
+                written += to - from;
+                synchronized (lock) {
+                    Framed.entries(Arrays.copyOfRange(bytes, from, to)).forEach(preamble::note);
+                }
+                from = to;
             }
-            written += bytes.length;
-            Framed.entries(bytes).forEach(preamble::note);
             broken = false;
         } catch (IOException | RuntimeException e) {
-            fail(bytes, e);
+            fail(Arrays.copyOfRange(bytes, from, bytes.length), e);
         }
     }
 
     private void fail(byte[] bytes, Exception e) {
         try {
             if (part != null) {
+                // What the disk refused may stand there in part. Another file may be taken where this one is not.
                 part.truncate(written);
+                part.close();
+                if (written == headBytes) {
+                    Files.deleteIfExists(file);
+                }
             }
         } catch (IOException ignored) {
             // The reader stops at the torn entry all the same.
         }
+        part = null;
         synchronized (lock) {
             for (Entry entry : Framed.entries(bytes)) {
                 // A gap that could not be named is part of the next one.
                 boolean gap = entry instanceof Entry.Gap;
+                preamble.note(entry);
                 lose(gap ? ((Entry.Gap) entry).from() : entry.at(), gap ? ((Entry.Gap) entry).entries() : 1,
                         "the disk refused it");
             }
@@ -153,27 +175,42 @@
         }
     }
 
+    /** Begins another part. One that cannot even take its head is taken away again, and no older one goes for it. */
     private void open() throws IOException {
         if (part != null) {
             part.close();
             part = null;
         }
         Files.createDirectories(folder);
-        makeRoom();
-        Path file = folder.resolve(String.format(Locale.ROOT, "%s-%06d%s", life, parts++, SUFFIX));
-        part = FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         head.writeBytes(ByteBuffer.allocate(Long.BYTES).putLong(Codec.MAGIC).array());
-        if (parts > 1) {
-            preamble.entries().forEach(entry -> head.writeBytes(Framed.of(entry)));
+        synchronized (lock) {
+            // Where nothing came before, not even what a disk refused, the record begins with its own start.
+            if (!preamble.isEmpty()) {
+                preamble.entries().forEach(entry -> head.writeBytes(Framed.of(entry)));
+            }
+        }
+        file = folder.resolve(String.format(Locale.ROOT, "%s-%06d%s", life, parts, SUFFIX));
+        FileChannel fresh = FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+        try {
+            ByteBuffer out = ByteBuffer.wrap(head.toByteArray());
+            while (out.hasRemaining()) {
+                fresh.write(out, out.position());
+            }
+        } catch (IOException e) {
+            fresh.close();
+            Files.deleteIfExists(file);
+            throw e;
         }
-        part.write(ByteBuffer.wrap(head.toByteArray()), 0);
-        written = head.size();
+        part = fresh;
+        headBytes = head.size();
+        written = headBytes;
+        parts++;
     }
 
     private void makeRoom() throws IOException {
         List<Path> files = files(folder);
-        for (int i = 0; i + MOST_PARTS - 1 < files.size(); i++) {
+        for (int i = 0; i + MOST_PARTS < files.size(); i++) {
             Files.deleteIfExists(files.get(i));
         }
     }
--- a/cli/src/test/java/frostrelay/BordersTest.java
+++ b/cli/src/test/java/frostrelay/BordersTest.java
@@ -28,11 +28,24 @@
                 .orShould().dependOnClassesThat().areAssignableTo(Thread.class).check(ALL);
     }
 
+    /** Likewise who is there and what each acts on; only the audit's store touches files. */
+    @Test
+    void talkAndAccountsDoNoInputOrOutput() {
+        classes().that().resideInAPackage("frostrelay.peers..").should().onlyDependOnClassesThat().resideInAnyPackage(
+                "frostrelay.peers..", "java.lang", "java.lang.invoke", "java.lang.runtime", "java.util", "java.util.function",
+                "java.util.stream", "java.util.zip", "java.nio").check(ALL);
+        noClasses().that().resideInAnyPackage("frostrelay.peers..", "frostrelay.audit", "frostrelay.audit.fleet")
+                .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().dependOnClassesThat().areAssignableTo(Thread.class)
+                .orShould().dependOnClassesThat().resideInAnyPackage("java.nio.file..", "java.nio.channels..", "java.net..",
+                "io.netty..").check(ALL);
+    }
+
     @Test
     void theBalancerKnowsNothingOfStandInsAndCommands() {
         noClasses().that().resideInAnyPackage("frostrelay.node..", "frostrelay.console..", "frostrelay.lifecycle..",
-                "frostrelay.log..").should().dependOnClassesThat().resideInAnyPackage("frostrelay.rig..",
-                "frostrelay.cli..", "frostrelay.config..", "frostrelay.adapter..", "picocli..", "org.tomlj..",
+                "frostrelay.log..", "frostrelay.peers..", "frostrelay.audit..").should().dependOnClassesThat()
+                .resideInAnyPackage("frostrelay.rig..", "frostrelay.start..", "frostrelay.cli..", "frostrelay.config..", "frostrelay.adapter..", "picocli..", "org.tomlj..",
                 "org.HdrHistogram..", "org.apache.commons..").check(ALL);
     }
 
@@ -41,7 +54,7 @@
     void standInsAndRefereeShareNothingWithTheBalancer() {
         noClasses().that().resideInAPackage("frostrelay.rig..").should().dependOnClassesThat().resideInAnyPackage(
                 "frostrelay.node..", "frostrelay.policy..", "frostrelay.console..", "frostrelay.lifecycle..",
-                "frostrelay.cli..").check(ALL);
+                "frostrelay.cli..", "frostrelay.peers..", "frostrelay.audit..", "frostrelay.start..").check(ALL);
     }
 
     @Test
--- /dev/null
+++ b/cli/src/test/java/frostrelay/cli/CampaignTest.java
@@ -0,0 +1,139 @@
+package frostrelay.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import frostrelay.audit.fleet.Life;
+import frostrelay.audit.fleet.Statement;
+import frostrelay.audit.store.Collected;
+import frostrelay.rig.campaign.Campaign;
+import frostrelay.rig.campaign.CampaignPlay;
+import frostrelay.rig.campaign.Schedule;
+import frostrelay.rig.campaign.ScheduleFile;
+import frostrelay.start.Defect;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real processes with faults between them: what they say of themselves is what the stand-ins saw. */
+class CampaignTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final int AT_ONCE = 2;
+
+    @TempDir
+    private Path folder;
+
+    private List<CampaignPlay.Outcome> play(List<Schedule> schedules, String defect) throws Exception {
+        return new Campaign(folder, CampaignCommand.launch(), defect, line -> { }).play(schedules, AT_ONCE);
+    }
+
+    @Test
+    void fiveProcessesKeepTrueAccountsThroughEightDrawnSchedules() throws Exception {
+        List<Schedule> schedules = LongStream.rangeClosed(1, 8).mapToObj(seed -> Schedule.drawn(seed, 5, 10 * SECOND)).toList();
+        long commands = 0;
+        for (CampaignPlay.Outcome outcome : play(schedules, null)) {
+            assertEquals(List.of(), outcome.violations(), outcome.schedule().toml());
+            commands += ((Number) outcome.figures().get("commands")).longValue();
+        }
+        assertTrue(commands > 8 * 1_000, "commands held against a statement: " + commands);
+    }
+
+    /** Each seeded defect, in one of three balancers, is found; the same schedule without one is kept. */
+    @Test
+    void everySeededDefectIsFound() throws Exception {
+        Schedule schedule = ScheduleFile.parse("defects", """
+                name = "defects"
+                seed = 3
+                processes = 3
+                length = "9s"
+                """ + happening("1s", "drain", "", "2", 0, "2500ms") + happening("1500ms", "config", "1 2 3", "", 1, "0ms")
+                + happening("2s", "drain", "", "4", 0, "2500ms"));
+        assertEquals(List.of(), play(List.of(schedule), null).get(0).violations());
+        List<String> missed = new ArrayList<>();
+        for (String defect : Defect.words()) {
+            if (play(List.of(schedule), defect).get(0).violations().isEmpty()) {
+                missed.add(defect);
+            }
+        }
+        assertEquals(List.of(), missed, "defects that no checker found");
+    }
+
+    private static String happening(String at, String kind, String who, String whom, int amount, String length) {
+        return "[[happening]]\nat = \"" + at + "\"\nkind = \"" + kind + "\"\n" + (who.isEmpty() ? "" : "who = \"" + who + "\"\n")
+                + (whom.isEmpty() ? "" : "whom = \"" + whom + "\"\n") + "amount = " + amount + ".0\nfor = \"" + length + "\"\n";
+    }
+
+    /**
+     * The worked case of docs/audit.md: a configuration reaches three of five, one of them frozen and one with its wall
+     * clock set back, one number has two contents, and one balancer is partitioned off; the tools say all of that.
+     */
+    @Test
+    void theToolsSayWhoWasBehindAndWhatTheyCannotKnow() throws Exception {
+        Schedule schedule = ScheduleFile.parse("straggler", """
+                name = "straggler"
+                seed = 5
+                processes = 5
+                length = "16s"
+                """ + happening("1s", "wall-clock", "4", "", -10_000, "0ms")
+                + happening("1500ms", "freeze", "2", "", 0, "4s")
+                + happening("2s", "config", "1 2 3", "", 7, "0ms")
+                + happening("2500ms", "config-other", "4", "", 7, "0ms")
+                + happening("3s", "partition", "5", "", 0, "12500ms")
+                + happening("9s", "kill", "1", "", 0, "2s"));
+        CampaignPlay.Outcome outcome = CampaignPlay.play(schedule, folder, CampaignCommand.launch(), null);
+        assertEquals(List.of(), outcome.violations());
+        List<String> complaints = new ArrayList<>();
+        List<Life> lives = Collected.lives(folder, complaints);
+        assertEquals(List.of(), complaints);
+        assertEquals(6, lives.size(), "five balancers, one of them twice");
+        Statement statement = new Statement(lives);
+        assertEquals(List.of(), statement.verify());
+        assertEquals(1, statement.conflicts().size());
+        assertEquals(7L, statement.conflicts().get(0).get("number"));
+        assertEquals(5, statement.told().stream().filter(life -> life.get("end").equals("in order")).count(),
+                "the killed life says that its end is not known");
+        Map<?, ?> frozen = behind(statement, "balancer-2");
+        long least = ((Number) ((List<?>) frozen.get("behindMs")).get(0)).longValue();
+        assertTrue(least > 2_500 && least < 6_000, "frozen until 5.5 s, while the others took it at 2 s: " + frozen);
+        assertTrue(statement.told().stream().allMatch(life -> life.get("placed").equals("by what peers heard")),
+                "a wall clock that was set back puts nobody in a wrong place");
+        Map<String, Object> consoles = JSON.std.mapFrom(Files.readString(folder.resolve("consoles.json")));
+        for (Object peer : (List<?>) ((Map<?, ?>) consoles.get("balancer-3")).get("peers")) {
+            boolean apart = ((Map<?, ?>) peer).get("number").equals(4);
+            assertEquals(apart, "unknown".equals(((Map<?, ?>) peer).get("actsOn")), "of the one that it cannot hear: " + peer);
+        }
+    }
+
+    private static Map<?, ?> behind(Statement statement, String balancer) {
+        for (Map<String, Object> version : statement.drift(frostrelay.audit.fleet.Kind.CONFIG)) {
+            if (String.valueOf(version.get("version")).startsWith("7:")) {
+                for (Object one : (List<?>) version.get("balancers")) {
+                    Map<?, ?> row = (Map<?, ?>) one;
+                    if (row.get("balancer").equals(balancer) && row.get("from") != null) {
+                        return row;
+                    }
+                }
+            }
+        }
+        throw new AssertionError("nobody of that name: " + statement.drift(frostrelay.audit.fleet.Kind.CONFIG));
+    }
+
+    @Test
+    void usageIsCheckedAndTheListIsComplete() {
+        for (List<String> words : List.of(List.of("campaign", "--processes", "13"), List.of("campaign", "--seeds", "5..2"),
+                List.of("campaign", "--defect", "nothing"), List.of("campaign", "--matter", "x"), List.of("audit"),
+                List.of("audit", "who", "list", "3", "--from", "/nonexistent/folder"), List.of("audit", "verify"))) {
+            picocli.CommandLine line = Main.commandLine();
+            line.setErr(new java.io.PrintWriter(new java.io.StringWriter()));
+            assertEquals(2, line.execute(words.toArray(String[]::new)), words.toString());
+        }
+        assertFalse(Defect.words().size() < 5);
+    }
+}
--- a/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
@@ -34,6 +34,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
 /** Plays one schedule with real processes: starts them, does what it says, heals, ends them in order and judges. */
@@ -50,6 +51,7 @@
 
     private static final long MILLISECOND = 1_000_000L;
     private static final Duration CALL = Duration.ofSeconds(2);
+    private static final long PENDING = 20_000 * MILLISECOND;
     private static final long STOP_MS = 6_000;
     private static final long STARVE_SLICE_MS = 100;
     private static final String DAY = """
@@ -93,7 +95,7 @@
     private final BalancerProcess[] running;
     private final String[] configs;
     private final long[] offsets;
-    private final ScheduledExecutorService thread = Executors.newScheduledThreadPool(4, task -> {
+    private final ScheduledExecutorService thread = Executors.newScheduledThreadPool(8, task -> {
         Thread fresh = new Thread(task, "campaign");
         fresh.setDaemon(true);
         return fresh;
@@ -102,7 +104,7 @@
     private DatagramRelay relay;
     private Fleet fleet;
     private Front front;
-    private int second;
+    private final AtomicInteger pending = new AtomicInteger();
 
     private CampaignPlay(Schedule schedule, Path folder, Launch launch, String defect) {
         this.schedule = schedule;
@@ -198,6 +200,7 @@
         OpenLoop load = new OpenLoop(fleet.day(), front, fleet.loop(), fleet.referee(), tally);
         long begin = history.moment();
         for (Happening one : schedule.happenings()) {
+            pending.incrementAndGet();
             thread.schedule(() -> guarded(one), one.at(), TimeUnit.NANOSECONDS);
         }
         Future<Tally> done = load.run();
@@ -206,15 +209,30 @@
         } catch (ExecutionException | TimeoutException e) {
             violations.add(new Violation("play", "requests are still open long after the last: " + e));
         }
+        // A process that took long to end is started later than planned; all of it is to be over.
+        for (long limit = history.moment() + PENDING; pending.get() > 0 && history.moment() < limit;) {
+            Thread.sleep(50);
+        }
         long left = begin + schedule.length() - history.moment();
         if (left > 0) {
             Thread.sleep(left / MILLISECOND);
         }
         Map<String, Object> consoles = consoles();
         long end = history.moment();
+        List<java.util.concurrent.Future<?>> ending = new ArrayList<>();
         for (BalancerProcess process : running) {
-            if (process.isAlive()) {
-                process.terminate(STOP_MS);
+            ending.add(thread.submit(() -> {
+                if (process.isAlive()) {
+                    process.terminate(STOP_MS);
+                }
+                return null;
+            }));
+        }
+        for (java.util.concurrent.Future<?> one : ending) {
+            try {
+                one.get();
+            } catch (ExecutionException e) {
+                violations.add(new Violation("play", "a process did not end: " + e.getCause()));
             }
         }
         return judge(tally, end, consoles);
@@ -292,6 +310,8 @@
             happen(one);
         } catch (IOException | InterruptedException | RuntimeException e) {
             violations.add(new Violation("play", one.text() + " failed: " + e));
+        } finally {
+            pending.decrementAndGet();
         }
     }
 
@@ -301,14 +321,18 @@
 
     /** What ends a happening, at its end. */
     private void later(Happening one, long from, Step undo) {
+        pending.incrementAndGet();
+        // From its beginning on: what took its time to begin is not longer for it.
         thread.schedule(() -> {
             try {
                 undo.run();
                 history.span(from, one);
             } catch (IOException | InterruptedException | RuntimeException e) {
                 violations.add(new Violation("play", "the end of " + one.text() + " failed: " + e));
+            } finally {
+                pending.decrementAndGet();
             }
-        }, one.length(), TimeUnit.NANOSECONDS);
+        }, Math.max(0, from + one.length() - history.moment()), TimeUnit.NANOSECONDS);
     }
 
     private void ways(Happening one, java.util.function.UnaryOperator<DatagramRelay.Way> change) {
@@ -524,7 +548,6 @@
         Fleet.Place at = fleet.balancers().get(place);
         BalancerProcess fresh = new BalancerProcess(names.get(place), program(place), old.folder(), at.listen(),
                 configs[place]);
-        second++;
         history.process(place, History.What.STARTED, offsets[place]);
         fresh.start();
         long limit = history.moment() + 10_000 * MILLISECOND;
--- a/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
@@ -105,14 +105,14 @@
         StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
                 "name = \"%s\"%nseed = %d%nprocesses = %d%nlength = \"%dms\"%n", name, seed, processes, length / 1_000_000));
         for (Happening one : happenings) {
-            text.append(String.format(Locale.ROOT, "%n[[happening]]%nat = \"%dms\"%nkind = \"%s\"%nwho = \"%s\"%nwhom = \"%s\"%n"
-                    + "amount = %s%nfor = \"%dms\"%n", one.at() / 1_000_000, one.kind().word(), list(one.who()),
-                    list(one.whom()), one.amount(), one.length() / 1_000_000));
+            text.append(String.format(Locale.ROOT, "%n[[happening]]%nat = \"%dms\"%nkind = \"%s\"%n%s%samount = %s%n"
+                    + "for = \"%dms\"%n", one.at() / 1_000_000, one.kind().word(), list("who", one.who()),
+                    list("whom", one.whom()), one.amount(), one.length() / 1_000_000));
         }
         return text.toString();
     }
 
-    private static String list(List<Integer> places) {
-        return String.join(" ", places.stream().map(place -> Integer.toString(place + 1)).toList());
+    private static String list(String key, List<Integer> places) {
+        return places.isEmpty() ? "" : key + " = \"" + String.join(" ", places.stream().map(place -> Integer.toString(place + 1)).toList()) + "\"\n";
     }
 }
