--- a/adapter/src/main/java/frostrelay/adapter/Adapter.java
+++ b/adapter/src/main/java/frostrelay/adapter/Adapter.java
@@ -11,6 +11,7 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,20 +29,23 @@
     private static final int ATTR_WRITE = 4;
     private static final float[] NO_REPORT = new float[0];
 
-    /** One balancer hosted here, and how many request classes its settings name. */
-    private record Instance(Router router, int classes) {
+    /** One balancer hosted here, how many request classes its settings name, and its talk with peers or null. */
+    private record Instance(Router router, int classes, PeerTalk talk) {
     }
 
     private final InputStream in;
     private final OutputStream out;
+    private final boolean talk;
     private final ReplyWriter reply = new ReplyWriter();
     private final Map<Integer, Instance> instances = new HashMap<>();
     private final List<List<Api.Server>> lists = new ArrayList<>();
     private ByteBuffer frame;
     private int tail;
 
-    Adapter(InputStream in, OutputStream out) {
+    /** {@code talk}: whether hosted balancers talk with their peers where their settings allow it. */
+    Adapter(InputStream in, OutputStream out, boolean talk) {
         this.in = in;
+        this.talk = talk;
         this.out = out;
         for (int i = 0; i < LISTS; i++) {
             lists.add(null);
@@ -96,7 +100,7 @@
         }
         int balancer = frame.getInt(at + 1);
         if (code == 7) {
-            start(at, balancer);
+            start(now, at, balancer);
             return;
         }
         if (code > 10) {
@@ -108,15 +112,27 @@
         }
         Router router = instance.router();
         switch (code) {
-            case 1 -> router.onTimer(now, frame.getInt(at + 5));
+            case 1 -> {
+                if (instance.talk() != null && frame.getInt(at + 5) == PeerTalk.TOKEN) {
+                    instance.talk().wake(now);
+                } else {
+                    router.onTimer(now, frame.getInt(at + 5));
+                }
+            }
             case 2 -> router.onOutcome(now, outcome(at));
             case 3 -> instances.remove(balancer);
-            case 6 -> router.onList(now, mode(at), entries(at));
+            case 4 -> message(now, at, instance);
+            case 6 -> {
+                router.onList(now, mode(at), entries(at));
+                if (instance.talk() != null && mode(at) != Api.ListMode.FAILED) {
+                    instance.talk().acts(now, frame.getLong(at + 6));
+                }
+            }
             case 8 -> router.onFirstByte(now, frame.getLong(at + 5), unsignedShort(at + 13));
             case 9 -> router.onClientGone(now, frame.getLong(at + 5));
             case 10 -> router.onRequest(now, request(at, instance.classes()));
             default -> {
-                // 4 and 5: messages and probe results, which this module never asks for.
+                // 5: probe results, which this module never asks for.
             }
         }
     }
@@ -129,7 +145,15 @@
         }
     }
 
-    private void start(int at, int balancer) {
+    private void message(long now, int at, Instance instance) {
+        int[] range = tailRange(at + 7, 1);
+        if (instance.talk() != null) {
+            instance.talk().heard(now, unsignedShort(at + 5), Arrays.copyOfRange(frame.array(), range[0],
+                    range[0] + range[1]));
+        }
+    }
+
+    private void start(long now, int at, int balancer) {
         int[] range = tailRange(at + 13, 1);
         String text = new String(frame.array(), range[0], range[1], StandardCharsets.UTF_8);
         Api.Settings settings = settings(text);
@@ -137,7 +161,8 @@
             throw new WireException("settings of balancer " + balancer + " name no request class");
         }
         Router router = new Router(settings, frame.getLong(at + 5), reply.of(balancer));
-        instances.put(balancer, new Instance(router, settings.classes().size()));
+        instances.put(balancer, new Instance(router, settings.classes().size(), PeerTalk.of(talk, reply, balancer, now,
+                frame.getLong(at + 5), settings.rank(), settings.instances(), text)));
     }
 
     private void list(int at) {
--- a/adapter/src/main/java/frostrelay/adapter/Main.java
+++ b/adapter/src/main/java/frostrelay/adapter/Main.java
@@ -31,7 +31,7 @@
 
     static int serve(InputStream in, OutputStream out, PrintStream err) {
         try {
-            new Adapter(in, out).run();
+            new Adapter(in, out, "on".equals(System.getProperty("frostrelay.peers"))).run();
             return 0;
         } catch (WireException e) {
             err.println("frostrelay: malformed input: " + e.getMessage());
--- a/adapter/src/main/java/frostrelay/adapter/ReplyWriter.java
+++ b/adapter/src/main/java/frostrelay/adapter/ReplyWriter.java
@@ -15,6 +15,7 @@
     private static final byte FAIL = 65;
     private static final byte SEND = 67;
     private static final byte WAKE = 68;
+    private static final byte TELL = 69;
     private static final byte CLOSE_IDLE = 72;
     private static final byte CANCEL = 74;
     private static final byte REFUSE = 75;
@@ -22,17 +23,21 @@
     private byte[] bytes = new byte[1 << 16];
     private ByteBuffer buffer = ByteBuffer.wrap(bytes).order(ByteOrder.LITTLE_ENDIAN);
     private int records;
+    private byte[] tail = new byte[1 << 12];
+    private int tailLength;
 
     void begin() {
         records = 0;
+        tailLength = 0;
     }
 
     /** Completes the frame and writes it out. */
     void finish(OutputStream out) throws IOException {
         int length = HEADER + records * ACTION;
-        buffer.putInt(0, length - 4);
+        buffer.putInt(0, length + tailLength - 4);
         buffer.putInt(4, records);
         out.write(bytes, 0, length);
+        out.write(tail, 0, tailLength);
         out.flush();
     }
 
@@ -48,6 +53,19 @@
         return at;
     }
 
+    /** Sends bytes to another instance, by its number. */
+    void tell(int balancer, int to, byte[] data, int length) {
+        if (tailLength + length > tail.length) {
+            tail = Arrays.copyOf(tail, Math.max(2 * tail.length, tailLength + length));
+        }
+        System.arraycopy(data, 0, tail, tailLength, length);
+        int at = record(TELL, balancer);
+        buffer.putInt(at + 5, to);
+        buffer.putInt(at + 9, tailLength);
+        buffer.putInt(at + 13, length);
+        tailLength += length;
+    }
+
     /** The actions of one instance. */
     Api.Actions of(int balancer) {
         return new Api.Actions() {
--- a/adapter/src/test/java/frostrelay/adapter/AdapterTest.java
+++ b/adapter/src/test/java/frostrelay/adapter/AdapterTest.java
@@ -12,7 +12,9 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
@@ -161,4 +163,102 @@
         System.arraycopy(frame.array(), 0, both, first.length, frame.capacity());
         assertMalformed(both, "outcome 299");
     }
+
+    /** Two hosted balancers that are allowed to talk know what the other acts on; nothing goes out unless it is wanted. */
+    @Test
+    void hostedBalancersTalkOnTheWire() throws Exception {
+        for (boolean wanted : new boolean[] {false, true}) {
+            PipedRounds rounds = new PipedRounds(wanted);
+            int told = rounds.play(400);
+            assertEquals(wanted, told > 0);
+            assertEquals(wanted, rounds.heardLate > 0, "messages go on for as long as both live");
+        }
+    }
+
+    /** Plays the platform's part for two instances: carries timers and messages, 10 ms a batch. */
+    private static final class PipedRounds {
+        private final java.io.PipedOutputStream to = new java.io.PipedOutputStream();
+        private final java.io.PipedInputStream from = new java.io.PipedInputStream(1 << 16);
+        private final List<long[]> timers = new ArrayList<>();
+        private final List<Object[]> messages = new ArrayList<>();
+        private long now = NOW;
+        int heardLate;
+
+        PipedRounds(boolean wanted) throws Exception {
+            java.io.PipedInputStream in = new java.io.PipedInputStream(to, 1 << 16);
+            java.io.PipedOutputStream out = new java.io.PipedOutputStream(from);
+            Thread thread = new Thread(() -> {
+                try {
+                    new Adapter(in, out, wanted).run();
+                } catch (java.io.IOException e) {
+                    // The test has ended.
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        int play(int batches) throws Exception {
+            int told = 0;
+            for (int batch = 0; batch < batches; batch++) {
+                now += 10_000_000;
+                List<byte[]> records = new ArrayList<>();
+                java.io.ByteArrayOutputStream tail = new java.io.ByteArrayOutputStream();
+                for (int i = 0; batch == 0 && i < 2; i++) {
+                    byte[] settings = (SETTINGS.replace("n-instances=1", "n-instances=2") + "rank=" + i
+                            + "\nceilings.peer-messages=true\n").getBytes(StandardCharsets.UTF_8);
+                    records.add(record(7, i).putLong(5, 99).putInt(13, tail.size()).putInt(17, settings.length).array());
+                    tail.writeBytes(settings);
+                }
+                for (long[] timer : List.copyOf(timers)) {
+                    if (timer[1] <= now) {
+                        timers.remove(timer);
+                        records.add(record(1, (int) timer[0]).putInt(5, (int) timer[2]).array());
+                    }
+                }
+                for (Object[] message : messages) {
+                    byte[] data = (byte[]) message[2];
+                    records.add(record(4, (Integer) message[1]).putShort(5, (short) (int) (Integer) message[0])
+                            .putInt(7, tail.size()).putInt(11, data.length).array());
+                    tail.writeBytes(data);
+                }
+                heardLate += batch > batches / 2 ? messages.size() : 0;
+                messages.clear();
+                ByteBuffer head = ByteBuffer.allocate(16).order(ByteOrder.LITTLE_ENDIAN)
+                        .putInt(12 + records.size() * Adapter.EVENT + tail.size()).putInt(records.size()).putLong(now);
+                to.write(head.array());
+                for (byte[] one : records) {
+                    to.write(one);
+                }
+                to.write(tail.toByteArray());
+                to.flush();
+                told += reply();
+            }
+            return told;
+        }
+
+        private static ByteBuffer record(int code, int balancer) {
+            return ByteBuffer.allocate(Adapter.EVENT).order(ByteOrder.LITTLE_ENDIAN).put(0, (byte) code).putInt(1, balancer);
+        }
+
+        private int reply() throws Exception {
+            int length = ByteBuffer.wrap(from.readNBytes(4)).order(ByteOrder.LITTLE_ENDIAN).getInt();
+            ByteBuffer in = ByteBuffer.wrap(from.readNBytes(length)).order(ByteOrder.LITTLE_ENDIAN);
+            int count = in.getInt(0);
+            int told = 0;
+            for (int i = 0; i < count; i++) {
+                int at = 4 + i * ReplyWriter.ACTION;
+                if (in.get(at) == 68) {
+                    timers.add(new long[] {in.getInt(at + 1), in.getLong(at + 5), in.getInt(at + 13)});
+                } else if (in.get(at) == 69) {
+                    byte[] data = new byte[in.getInt(at + 13)];
+                    in.get(4 + count * ReplyWriter.ACTION + in.getInt(at + 9), data);
+                    assertTrue(data.length <= 256);
+                    messages.add(new Object[] {in.getInt(at + 1), in.getInt(at + 5), data});
+                    told++;
+                }
+            }
+            return told;
+        }
+    }
 }
--- a/cli/src/main/java/frostrelay/cli/BenchCommand.java
+++ b/cli/src/main/java/frostrelay/cli/BenchCommand.java
@@ -5,6 +5,7 @@
 import frostrelay.rig.bench.Bench.Phase;
 import frostrelay.rig.fleet.Program;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -22,6 +23,7 @@
 final class BenchCommand implements Callable<Integer> {
     private static final int RELAY = 1;
     private static final int BALANCER = 2;
+    private static final int AUDITED = 3;
 
     @Mixin
     private Output output;
@@ -40,6 +42,9 @@
             description = "Threads of the load, which never sleep (${DEFAULT-VALUE}).")
     private int loops;
 
+    @Option(names = "--audited", description = "Also measures a balancer that talks with peers and keeps account.")
+    private boolean audited;
+
     @Override
     public Integer call() throws Exception {
         Path folder = Checkout.folder();
@@ -47,7 +52,7 @@
         List<String> relay = List.of(Program.java(), "@" + Checkout.root().resolve("deploy/jvm.options"),
                 "-cp", own.toString(), Main.class.getName(), "relay");
         try (Bench bench = new Bench(connections, seconds, loops)) {
-            List<Phase> phases = bench.run(Checkout.balancer(), relay, folder, Math.max(1, rounds), output::progress);
+            List<Phase> phases = bench.run(Checkout.balancer(), further(), relay, folder, Math.max(1, rounds), output::progress);
             double[] cpu = phases.get(0).compare(BALANCER, RELAY, (one, other) -> one / other, Figures::cpuMicros);
             double[] rate = phases.get(0).compare(BALANCER, RELAY, (one, other) -> one / other, Figures::rate);
             double[] added = phases.get(1).compare(BALANCER, RELAY, (one, other) -> (one - other) / 1e3,
@@ -61,13 +66,34 @@
             figures.put("rateBalancerPerRelay", spread(rate));
             figures.put("addedP99MsAtHalfLoad", spread(added));
             figures.put("cacheConnections", bench.cacheConnections());
-            output.result(figures, text(phases, cpu, rate, added, bench.cacheConnections()));
+            String further = "";
+            if (audited) {
+                double[] more = phases.get(0).compare(AUDITED, BALANCER, (one, other) -> one / other, Figures::cpuMicros);
+                double[] half = phases.get(1).compare(AUDITED, BALANCER, (one, other) -> one / other, Figures::cpuMicros);
+                long memory = phases.get(1).middle(AUDITED).residentKb() - phases.get(1).middle(BALANCER).residentKb();
+                figures.put("cpuAuditedPerBalancer", spread(more));
+                figures.put("cpuAuditedPerBalancerAtHalfLoad", spread(half));
+                figures.put("memoryAuditedKb", memory);
+                further = String.format(Locale.ROOT, "%naudited to balancer: CPU a request %.3f times (%.3f to %.3f),"
+                        + " at half load %.3f (%.3f to %.3f), memory %+d KB", more[1], more[0], more[2], half[1], half[0],
+                        half[2], memory);
+            }
+            output.result(figures, text(phases, cpu, rate, added, bench.cacheConnections()) + further);
             return phases.stream().allMatch(phase -> phase.middle(BALANCER).bad() == 0) ? 0 : 1;
         } finally {
             Checkout.remove(folder);
         }
     }
 
+    private Program further() {
+        if (!audited) {
+            return null;
+        }
+        List<String> command = new ArrayList<>(Checkout.balancer().command());
+        command.addAll(command.size() - 1, List.of("-Dfrostrelay.peers=on", "-Dfrostrelay.audit=on"));
+        return new Program(command);
+    }
+
     private static Map<String, Object> spread(double[] values) {
         Map<String, Object> spread = new LinkedHashMap<>();
         spread.put("least", round(values[0]));
@@ -85,7 +111,7 @@
         for (Phase phase : phases) {
             text.append(String.format(Locale.ROOT, "%-12s %13s %16s %8s %9s %6s%n", phase.name(), "requests/s",
                     "CPU us/request", "p50 us", "p99 us", "bad"));
-            for (int way = 0; way <= BALANCER; way++) {
+            for (int way = 0; way < phase.ways().size(); way++) {
                 Figures one = phase.middle(way);
                 text.append(String.format(Locale.ROOT, "  %-10s %13.0f %16.2f %8.0f %9.0f %6d%n", one.way(), one.rate(),
                         one.cpuMicros(), one.p50Micros(), one.p99Micros(), one.bad()));
--- a/cli/src/main/java/frostrelay/cli/CampaignCommand.java
+++ b/cli/src/main/java/frostrelay/cli/CampaignCommand.java
@@ -64,7 +64,7 @@
     @Option(names = "--shrink", description = "Leaves happenings out of schedules that fail, as long as they fail.")
     private boolean shrink;
 
-    @Option(names = "--keep", paramLabel = "DIR", description = "Where schedules that fail go, and the files of their plays.")
+    @Option(names = "--keep", paramLabel = "DIR", description = "Where the files of all plays stay, and schedules that fail.")
     private Path keep;
 
     @Option(names = "--list", description = "Prints matters, faults and defects.")
@@ -95,7 +95,7 @@
         List<Schedule> schedules = schedules();
         Path folder = keep != null ? keep : Checkout.folder();
         Files.createDirectories(folder);
-        Campaign campaign = new Campaign(folder, launch(), defect, output::progress);
+        Campaign campaign = new Campaign(folder, keep != null, launch(), defect, output::progress);
         List<CampaignPlay.Outcome> outcomes = campaign.play(schedules, atOnce);
         if (shrink) {
             for (CampaignPlay.Outcome outcome : outcomes) {
--- a/cli/src/main/java/frostrelay/cli/CheckCommand.java
+++ b/cli/src/main/java/frostrelay/cli/CheckCommand.java
@@ -6,6 +6,7 @@
 import frostrelay.config.Values;
 import frostrelay.lab.ExperimentFile;
 import frostrelay.lab.PlantFile;
+import frostrelay.rig.campaign.ScheduleFile;
 import frostrelay.rig.day.DayFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -22,7 +23,8 @@
 /** Says what is wrong with configuration files, without starting anything. */
 @Command(name = "check", mixinStandardHelpOptions = true, description = {
     "Checks files and says everything that is wrong with them: a balancer's own settings (frostrelay.toml), a day for"
-    + " the fleet (a file with [[class]] tables), an experiment (with an [experiment] table), a plant for the lab (with a [plant] table), or the platform's JSON.",
+    + " the fleet (a file with [[class]] tables), an experiment (with an [experiment] table), a plant for the lab (with a [plant] table),"
+    + " a schedule of a campaign (with [[happening]] tables), or the platform's JSON.",
     "Exits with 1 if any file is refused."})
 final class CheckCommand implements Callable<Integer> {
     @Mixin
@@ -81,6 +83,9 @@
         } else if (has(file, "[plant]")) {
             values = TomlFile.read(file, PlantFile.form());
             PlantFile.bind(file.toString(), values);
+        } else if (has(file, "[[happening]]")) {
+            values = TomlFile.read(file, ScheduleFile.form());
+            ScheduleFile.bind(file.toString(), values);
         } else if (has(file, "[[class]]")) {
             values = TomlFile.read(file, DayFile.form());
             DayFile.bind(file.toString(), values);
--- a/rig/src/main/java/frostrelay/rig/campaign/AuditCheck.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/AuditCheck.java
@@ -28,6 +28,8 @@
     private static final long KNOWN = 2_000 * MILLISECOND;
     /** A balancer hears of a file by a signal, behind which it reads it. */
     private static final long RELOADS = 2_000 * MILLISECOND;
+    /** Three doubtful periods behind the turn of a probe, in a tier of twelve. */
+    private static final long FORGOTTEN = 12_000 * MILLISECOND;
     private static final int MOST = 200;
 
     private final History history;
@@ -56,6 +58,7 @@
         counts();
         heard();
         news();
+        unknown();
         return found.size() > MOST ? found.subList(0, MOST) : found;
     }
 
@@ -407,6 +410,48 @@
         }));
     }
 
+    /** Of whom nobody could hear for long, nothing is shown as known. */
+    private void unknown() {
+        for (History.Look look : history.looks()) {
+            if (!(look.said().get("peers") instanceof List<?> peers)) {
+                continue;
+            }
+            for (Object one : peers) {
+                Map<?, ?> peer = (Map<?, ?>) one;
+                int other = ((Number) peer.get("number")).intValue();
+                long from = look.at() - FORGOTTEN;
+                boolean away = from > 0 && (apartAllThrough(look.balancer(), other, from, look.at())
+                        || downAllThrough(other, from, look.at()));
+                if (away && !"unknown".equals(peer.get("actsOn"))) {
+                    violation("unknown", "%s shows at %.3f s what %s acts on (%s), who could not be heard for %d s",
+                            names.get(look.balancer()), look.at() / 1e9, names.get(other), peer.get("state"),
+                            FORGOTTEN / 1_000_000_000L);
+                }
+            }
+        }
+    }
+
+    private boolean apartAllThrough(int a, int b, long from, long to) {
+        return history.spans().stream().anyMatch(span -> span.happening().kind() == Happening.Kind.PARTITION
+                && span.happening().who().contains(a) != span.happening().who().contains(b) && span.from() <= from
+                && span.to() >= to);
+    }
+
+    private boolean downAllThrough(int balancer, long from, long to) {
+        boolean up = true;
+        for (History.Process one : history.processes()) {
+            if (one.balancer() == balancer && one.what() != What.WALL) {
+                boolean runs = one.what() == What.STARTED || one.what() == What.THAWED || one.what() == What.FED
+                        || one.what() == What.STARVED;
+                if (one.at() > from && one.at() <= to) {
+                    return false;
+                }
+                up = one.at() <= from ? runs : up;
+            }
+        }
+        return !up;
+    }
+
     /** A change is known to every balancer that can be reached. */
     private void news() {
         records.forEach((name, lives) -> lives.forEach(life -> {
--- a/rig/src/main/java/frostrelay/rig/campaign/Campaign.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/Campaign.java
@@ -21,13 +21,15 @@
     private static final int MOST_SHRINKS = 40;
 
     private final Path folder;
+    private final boolean keep;
     private final CampaignPlay.Launch launch;
     private final String defect;
     private final Consumer<String> lines;
 
-    /** {@code folder}: of all plays; {@code defect}: put into one balancer, or null; {@code lines}: progress. */
-    public Campaign(Path folder, CampaignPlay.Launch launch, String defect, Consumer<String> lines) {
+    /** {@code folder}: of all plays; {@code keep}: also files of plays without violations; {@code defect}: put into one balancer, or null; {@code lines}: progress. */
+    public Campaign(Path folder, boolean keep, CampaignPlay.Launch launch, String defect, Consumer<String> lines) {
         this.folder = folder;
+        this.keep = keep;
         this.launch = launch;
         this.defect = defect;
         this.lines = lines;
@@ -60,7 +62,7 @@
         CampaignPlay.Outcome outcome = CampaignPlay.play(schedule, into, launch, defect);
         lines.accept(schedule.name() + ": " + (outcome.violations().isEmpty() ? "kept" : outcome.violations().size()
                 + " violations, the first: " + outcome.violations().get(0).what()));
-        if (outcome.violations().isEmpty()) {
+        if (outcome.violations().isEmpty() && !keep) {
             remove(into);
         }
         return outcome;
--- a/rig/src/main/java/frostrelay/rig/campaign/Happening.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/Happening.java
@@ -35,7 +35,8 @@
         CONFIG_BAD("Who get half of a configuration and are told so."),
         DRAIN("Cache whom drains; it is back when it is over."),
         HOLD("Operators hold cache whom at balancers who."),
-        CACHE_RESTART("Cache whom is killed and starts cold.");
+        CACHE_RESTART("Cache whom is killed and starts cold."),
+        LOOK("Operators ask the consoles of all what they know of each other.");
 
         /** What it does. */
         public final String meaning;
--- a/rig/src/main/java/frostrelay/rig/campaign/History.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/History.java
@@ -32,6 +32,10 @@
     /** What became of a process. */
     public enum What { STARTED, KILLED, FROZEN, THAWED, TERMINATED, STARVED, FED, WALL }
 
+    /** What a balancer's console said of itself and the others. */
+    public record Look(long at, int balancer, Map<String, Object> said) {
+    }
+
     /** A span in which balancers could not hear each other well, or a disk or a cache was away. */
     public record Span(long from, long to, Happening happening) {
     }
@@ -44,6 +48,7 @@
     private final List<Configured> configured = new ArrayList<>();
     private final List<Process> processes = new ArrayList<>();
     private final List<Span> spans = new ArrayList<>();
+    private final List<Look> looks = new ArrayList<>();
 
     private long now() {
         return System.nanoTime() - start;
@@ -76,6 +81,25 @@
         spans.add(new Span(from, now(), happening));
     }
 
+    synchronized void look(long at, int balancer, Map<String, Object> said) {
+        looks.add(new Look(at, balancer, said));
+    }
+
+    /** Whether a balancer's process was last heard of as running. */
+    synchronized boolean up(int balancer) {
+        boolean up = false;
+        for (Process one : processes) {
+            if (one.balancer == balancer && one.what != What.WALL) {
+                up = one.what == What.STARTED || one.what == What.THAWED || one.what == What.FED;
+            }
+        }
+        return up;
+    }
+
+    synchronized List<Look> looks() {
+        return List.copyOf(looks);
+    }
+
     /** Nanoseconds since the play's start. */
     public long moment() {
         return now();
@@ -129,6 +153,9 @@
             for (Process one : processes) {
                 line(out, "process", "at", one.at, "balancer", one.balancer, "what", one.what.name(), "offset", one.offset);
             }
+            for (Look one : looks) {
+                line(out, "look", "at", one.at, "balancer", one.balancer, "said", one.said);
+            }
             for (Span one : spans) {
                 line(out, "span", "from", one.from, "to", one.to, "happening", one.happening.text());
             }
--- a/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
@@ -76,6 +76,7 @@
                 // There are some always.
             }
             case CONFIG_BAD -> all.add(new Happening(at, kind, part, List.of(), 0, 0));
+            case LOOK -> all.add(new Happening(at, kind, List.of(), List.of(), 0, 0));
             case DRAIN, CACHE_RESTART -> all.add(new Happening(at, kind, List.of(), cache, 0,
                     kind == Happening.Kind.DRAIN ? length : 0));
             default -> throw new IllegalStateException(kind.word());
--- a/rig/src/main/java/frostrelay/rig/fleet/BalancerProcess.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/BalancerProcess.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** One real balancer as a process of its own, as the platform starts it. */
 public final class BalancerProcess implements AutoCloseable {
@@ -80,6 +81,16 @@
         return process.info().totalCpuDuration().orElse(Duration.ZERO);
     }
 
+    /** Memory that it has in use, in KB; 0 where the system does not tell. */
+    public synchronized long residentKb() {
+        try (Stream<String> lines = Files.lines(Path.of("/proc/" + process.pid() + "/status"))) {
+            return lines.filter(line -> line.startsWith("VmRSS:")).map(line -> line.replaceAll("\\D", ""))
+                    .mapToLong(Long::parseLong).findFirst().orElse(0);
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     /** Ends it at once. */
     public synchronized void kill() {
         process.destroyForcibly();
