--- a/audit/src/main/java/frostrelay/audit/fleet/Statement.java
+++ b/audit/src/main/java/frostrelay/audit/fleet/Statement.java
@@ -326,7 +326,9 @@
     /** Each balancer's stamps across time, for a picture: rows of spans. */
     public List<Map<String, Object>> spans(Kind kind) {
         List<Map<String, Object>> rows = new ArrayList<>();
-        for (Life life : lives) {
+        List<Life> named = new ArrayList<>(lives);
+        named.sort((a, b) -> a.label().compareTo(b.label()));
+        for (Life life : named) {
             List<Object> spans = new ArrayList<>();
             for (int i = 0; i < life.acts().size(); i++) {
                 Entry.Acts acts = life.acts().get(i);
--- /dev/null
+++ b/audit/src/test/java/frostrelay/audit/CostTest.java
@@ -0,0 +1,30 @@
+package frostrelay.audit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.management.ManagementFactory;
+import org.junit.jupiter.api.Test;
+
+/** Keeping account costs a request no memory. */
+class CostTest {
+    @Test
+    void aSendAllocatesNothing() {
+        int[] entries = new int[1];
+        AuditLog log = new AuditLog(entry -> entries[0]++, false, 0, 0, "b", 0, 1, RecordTest.stamp(1));
+        int cache = log.number(1, "cache-1");
+        long[] bytes = new long[2];
+        com.sun.management.ThreadMXBean threads = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+        for (int run = 0; run < 2; run++) {
+            long before = threads.getCurrentThreadAllocatedBytes();
+            for (int i = 0; i < 1_000_000; i++) {
+                log.sent(i, 0, cache, 0, false, "id");
+                log.refused();
+            }
+            bytes[run] = threads.getCurrentThreadAllocatedBytes() - before;
+        }
+        assertTrue(bytes[1] < 1_000, "bytes for a million sends: " + bytes[1]);
+        log.tick(2_000_000, 2);
+        assertEquals(4, entries[0], "start, stamp, name and counts");
+    }
+}
--- a/cli/src/main/java/frostrelay/cli/LabPeers.java
+++ b/cli/src/main/java/frostrelay/cli/LabPeers.java
@@ -1,6 +1,10 @@
 package frostrelay.cli;
 
 import frostrelay.emulator.SimPeers;
+import frostrelay.report.PeersPage;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -47,8 +51,11 @@
     @Option(names = "--ceiling", paramLabel = "BYTES", defaultValue = "2048", description = "In any second (${DEFAULT-VALUE}).")
     private int ceiling;
 
+    @Option(names = "--report", paramLabel = "FILE", description = "Writes a page with plots.")
+    private Path report;
+
     @Override
-    public Integer call() {
+    public Integer call() throws IOException {
         List<SimPeers.Plan> plans = new ArrayList<>();
         for (int size : sizes) {
             for (double loss : losses) {
@@ -64,6 +71,9 @@
         for (Map<String, Object> one : played) {
             text.append(one).append(System.lineSeparator());
         }
+        if (report != null) {
+            Files.writeString(report, new PeersPage(played).html());
+        }
         Map<String, Object> all = new LinkedHashMap<>();
         all.put("days", played);
         output.result(all, text.toString().stripTrailing());
--- /dev/null
+++ b/emulator/src/test/java/frostrelay/emulator/SimPeersTest.java
@@ -0,0 +1,41 @@
+package frostrelay.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Tiers that talk, at sizes that sockets do not reach: bounds that hold on every seed. */
+class SimPeersTest {
+    private static double figure(Map<String, Object> day, String name) {
+        return ((Number) day.get(name)).doubleValue();
+    }
+
+    @Test
+    void newsIsSoonKnownAndTheCeilingHoldsAtAnyLoss() {
+        for (double loss : new double[] {0.01, 0.1, 0.3}) {
+            Map<String, Object> day = SimPeers.play(SimPeers.Plan.of(64, loss, 60, 10, 7));
+            assertTrue(figure(day, "knownP99Ms") <= 2_000, day.toString());
+            assertTrue(figure(day, "knownMissed") <= 2, day.toString());
+            assertEquals(0, figure(day, "falselyGone"), day.toString());
+            assertTrue(figure(day, "mostBytesInASecond") <= 2048, day.toString());
+            assertTrue(figure(day, "price") < 0.003, day.toString());
+        }
+    }
+
+    @Test
+    void theDeadAreMissedAndAHealedPartitionSuspectsNobodyForLong() {
+        SimPeers.Plan plan = new SimPeers.Plan(32, 0.1, 2_100_000L, 30_000_000L, 2048, 90, 4, true, 3, 0, 5);
+        Map<String, Object> day = SimPeers.play(plan);
+        assertTrue(figure(day, "detectedMaxMs") < 60_000, day.toString());
+        assertEquals(0, figure(day, "falselyGone"), day.toString());
+        assertTrue(figure(day, "knownTogetherP99Ms") < 10_000, day.toString());
+    }
+
+    @Test
+    void aSeedIsADay() {
+        SimPeers.Plan plan = SimPeers.Plan.of(16, 0.3, 30, 4, 3);
+        assertEquals(SimPeers.play(plan), SimPeers.play(plan));
+    }
+}
--- a/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
@@ -84,6 +84,8 @@
             share = 1.0
             """;
     private static final int RATE_EACH = 40;
+    /** What an upgrade brings goes by this: two builds talk and keep records side by side. */
+    private static final int NEXT_BUILD = 77;
 
     private final Schedule schedule;
     private final Path folder;
@@ -138,11 +140,12 @@
                 schedule.length() / MILLISECOND, Schedule.CACHES, names.size(), RATE_EACH * names.size()));
     }
 
-    private Program program(int place) {
+    /** {@code build}: the number that it goes by, 0 for its own. */
+    private Program program(int place, int build) {
         Path own = folder.resolve(names.get(place));
         List<String> properties = new ArrayList<>(List.of("-Dfrostrelay.peers=on", "-Dfrostrelay.audit=on",
                 "-Dfrostrelay.audit.each=on", "-Dfrostrelay.audit.folder=audit",
-                "-Dfrostrelay.campaign.wall=" + own.resolve("wall")));
+                "-Dfrostrelay.campaign.wall=" + own.resolve("wall"), "-Dfrostrelay.campaign.build=" + build));
         if (defect != null && place == names.size() - 1) {
             properties.add("-Dfrostrelay.campaign.defect=" + defect);
         }
@@ -162,7 +165,7 @@
             fleet = new Fleet(day(), folder, new Fleet.Each() {
                 @Override
                 public Program program(int place) {
-                    return CampaignPlay.this.program(place);
+                    return CampaignPlay.this.program(place, 0);
                 }
 
                 @Override
@@ -566,7 +569,7 @@
         config.put("console", Loopback.text(Loopback.port(Loopback.freePort())));
         configs[place] = JSON.std.asString(config);
         Fleet.Place at = fleet.balancers().get(place);
-        BalancerProcess fresh = new BalancerProcess(names.get(place), program(place), old.folder(), at.listen(),
+        BalancerProcess fresh = new BalancerProcess(names.get(place), program(place, NEXT_BUILD), old.folder(), at.listen(),
                 configs[place]);
         int known = changes.get(place);
         history.process(place, History.What.STARTED, offsets[place]);
--- a/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
@@ -27,6 +27,11 @@
                     : Happening.Kind.CONFIG, who, List.of(), number, 0));
             number += random.nextInt(3) == 0 ? 0 : 1;
         }
+        if (random.nextInt(3) == 0) {
+            // Back to what all of them began with: number 0 has that content.
+            all.add(new Happening(FIRST + span / 2 + random.nextLong(span / 2), Happening.Kind.CONFIG,
+                    some(random, processes, 1 + random.nextInt(processes)), List.of(), 0, 0));
+        }
         for (int i = 0; i < 3; i++) {
             long at = FIRST + random.nextLong(span * 3 / 4);
             all.add(new Happening(at, Happening.Kind.DRAIN, List.of(), List.of(random.nextInt(CACHES)), 0,
