Bring stragglers up: ask discovery at others' news, avoid what they know as draining

Change: module stragglers/ (what is current, hearsay that only takes away, bounded; asking; stepping aside by places), caches ruled out told in datagrams and again to peers on older lists, glue in node, off by default; campaign matter 'stragglers' with a check of its own, '--defect off' to compare.

--- a/cli/src/main/java/frostrelay/cli/CampaignCommand.java
+++ b/cli/src/main/java/frostrelay/cli/CampaignCommand.java
@@ -3,6 +3,7 @@
 import frostrelay.rig.campaign.Campaign;
 import frostrelay.rig.campaign.CampaignPlay;
 import frostrelay.rig.campaign.Happening;
+import frostrelay.rig.campaign.Matter;
 import frostrelay.rig.campaign.Schedule;
 import frostrelay.rig.campaign.ScheduleFile;
 import frostrelay.rig.campaign.Violation;
@@ -32,7 +33,6 @@
     "docs/campaign.md says what is checked."})
 final class CampaignCommand implements Callable<Integer> {
     private static final long SECOND = 1_000_000_000L;
-    private static final String MATTER = "audit";
 
     @Spec
     private CommandSpec spec;
@@ -43,7 +43,7 @@
     @Parameters(arity = "0..*", paramLabel = "FILE", description = "Schedules in TOML to play; without any they are drawn.")
     private List<Path> files = List.of();
 
-    @Option(names = "--matter", paramLabel = "NAME", defaultValue = MATTER, description = "What is checked (${DEFAULT-VALUE}).")
+    @Option(names = "--matter", paramLabel = "NAME", defaultValue = "audit", description = "What is checked (${DEFAULT-VALUE}).")
     private String matter;
 
     @Option(names = "--seeds", paramLabel = "A..B", defaultValue = "1..4", description = "Schedules drawn (${DEFAULT-VALUE}).")
@@ -58,7 +58,8 @@
     @Option(names = "--at-once", paramLabel = "N", defaultValue = "1", description = "Plays side by side (${DEFAULT-VALUE}).")
     private int atOnce;
 
-    @Option(names = "--defect", paramLabel = "NAME", description = "Puts a seeded defect into one balancer; it has to be found.")
+    @Option(names = "--defect", paramLabel = "NAME", description = "Puts a seeded defect into one balancer: it has to"
+            + " be found; 'off' leaves the matter's own part off, to compare with.")
     private String defect;
 
     @Option(names = "--shrink", description = "Leaves happenings out of schedules that fail, as long as they fail.")
@@ -87,15 +88,15 @@
             output.result(listed(), listedText());
             return 0;
         }
-        check(matter.equals(MATTER), "--matter: found " + matter + ", allowed: " + MATTER);
+        check(Matter.words().contains(matter), "--matter: found " + matter + ", allowed: " + Matter.words());
         check(processes >= 2 && processes <= 12, "--processes: found " + processes + ", allowed: 2 to 12");
         check(seconds >= 6 && seconds <= 600, "--seconds: found " + seconds + ", allowed: 6 to 600");
         check(atOnce >= 1 && atOnce <= 64, "--at-once: found " + atOnce + ", allowed: 1 to 64");
-        check(defect == null || Defect.words().contains(defect), "--defect: found " + defect + ", allowed: " + Defect.words());
+        check(defect == null || defect.equals(CampaignPlay.OFF) || Defect.words().contains(defect), "--defect: found " + defect + ", allowed: " + Defect.words());
         List<Schedule> schedules = schedules();
         Path folder = keep != null ? keep : Checkout.folder();
         Files.createDirectories(folder);
-        Campaign campaign = new Campaign(folder, keep != null, launch(), defect, output::progress);
+        Campaign campaign = new Campaign(Matter.of(matter), folder, keep != null, launch(), defect, output::progress);
         List<CampaignPlay.Outcome> outcomes = campaign.play(schedules, atOnce);
         if (shrink) {
             for (CampaignPlay.Outcome outcome : outcomes) {
@@ -130,7 +131,7 @@
         long last = Long.parseLong(ends[ends.length - 1]);
         check(last >= Long.parseLong(ends[0]), "--seeds: found " + seeds + ", allowed: A..B with A at most B");
         for (long seed = Long.parseLong(ends[0]); seed <= last; seed++) {
-            schedules.add(Schedule.drawn(seed, processes, (long) (seconds * SECOND)));
+            schedules.add(Matter.of(matter).drawn(seed, processes, (long) (seconds * SECOND)));
         }
         return schedules;
     }
@@ -143,6 +144,10 @@
         long commands = 0;
         long beyond = 0;
         long late = 0;
+        long stale = 0;
+        long aside = 0;
+        long asked = 0;
+        long inTime = 0;
         long bytes = 0;
         for (CampaignPlay.Outcome outcome : outcomes) {
             outcome.schedule().happenings().forEach(one -> faults.merge(one.kind().word(), 1, Integer::sum));
@@ -153,6 +158,10 @@
             commands += ((Number) outcome.figures().get("commands")).longValue();
             beyond += ((Number) outcome.figures().get("beyondTheRecord")).longValue();
             late += ((Number) outcome.figures().get("knownLate")).longValue();
+            stale += ((Number) outcome.figures().getOrDefault("staleSends", 0)).longValue();
+            aside = Math.max(aside, ((Number) outcome.figures().getOrDefault("mostAside", 0)).longValue());
+            asked += ((Number) outcome.figures().get("asked")).longValue();
+            inTime += ((Number) outcome.figures().get("servedInTime")).longValue();
             bytes += ((Number) outcome.figures().get("bytesASecondEach")).longValue();
             ((List<?>) outcome.figures().get("knownAfterMs")).forEach(ms -> known.add(((Number) ms).longValue()));
         }
@@ -166,6 +175,10 @@
         all.put("knownP50Ms", known.isEmpty() ? null : known.get(known.size() / 2));
         all.put("knownP99Ms", known.isEmpty() ? null : known.get(Math.min(known.size() - 1, known.size() * 99 / 100)));
         all.put("knownLaterThan2s", late);
+        all.put("staleSends", stale);
+        all.put("mostAside", aside);
+        all.put("asked", asked);
+        all.put("servedInTime", inTime);
         all.put("bytesASecondEach", outcomes.isEmpty() ? 0 : bytes / outcomes.size());
         all.put("violations", violations);
         return all;
@@ -190,14 +203,18 @@
 
     private static Map<String, Object> listed() {
         Map<String, Object> all = new LinkedHashMap<>();
-        all.put("matters", List.of(MATTER));
+        all.put("matters", Matter.words());
         all.put("faults", Happening.Kind.words());
         all.put("defects", Defect.words());
         return all;
     }
 
     private static String listedText() {
-        StringBuilder text = new StringBuilder("matters\n  " + MATTER + "\nfaults\n");
+        StringBuilder text = new StringBuilder("matters\n");
+        for (Matter one : Matter.values()) {
+            text.append(String.format("  %-18s %s%n", one.word(), one.meaning));
+        }
+        text.append("faults\n");
         for (Happening.Kind kind : Happening.Kind.values()) {
             text.append(String.format("  %-16s %s%n", kind.word(), kind.meaning));
         }
--- a/cli/src/main/java/frostrelay/cli/OwnSettings.java
+++ b/cli/src/main/java/frostrelay/cli/OwnSettings.java
@@ -30,6 +30,8 @@
                 .table("peers", new Table("Talk with the other balancers of the tier.")
                         .bool("enabled", false, "Whether it talks; the platform's own ceilings.peer-messages has to allow it"
                                 + " as well.")
+                        .bool("stragglers", false, "Whether it brings itself up to what others act on, avoids caches that they"
+                                + " know as draining, and steps aside where it lags behind for long.")
                         .bytes("ceiling", "2KiB", "256B", "1MiB", "Sent in any second at most; each receiver is paid for."))
                 .table("audit", new Table("Its account of what it acts on.")
                         .bool("enabled", false, "Whether it keeps one.")
@@ -51,7 +53,8 @@
 
     private static FleetOptions fleet(Values peers, Values audit) {
         String folder = audit.text("folder");
-        return new FleetOptions(peers.bool("enabled"), (int) peers.whole("ceiling"), audit.bool("enabled"),
+        return new FleetOptions(peers.bool("enabled"), (int) peers.whole("ceiling"), peers.bool("stragglers"),
+                audit.bool("enabled"),
                 (int) audit.whole("memory"), audit.bool("each-send"), folder.isEmpty() ? null : Path.of(folder),
                 audit.whole("folder-most"));
     }
--- a/cli/src/test/java/frostrelay/BordersTest.java
+++ b/cli/src/test/java/frostrelay/BordersTest.java
@@ -34,7 +34,8 @@
         classes().that().resideInAPackage("frostrelay.peers..").should().onlyDependOnClassesThat().resideInAnyPackage(
                 "frostrelay.peers..", "java.lang", "java.lang.invoke", "java.lang.runtime", "java.util", "java.util.function",
                 "java.util.stream", "java.util.zip", "java.nio").check(ALL);
-        noClasses().that().resideInAnyPackage("frostrelay.peers..", "frostrelay.audit", "frostrelay.audit.fleet")
+        noClasses().that().resideInAnyPackage("frostrelay.peers..", "frostrelay.stragglers..", "frostrelay.audit",
+                "frostrelay.audit.fleet")
                 .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
                 .orShould().dependOnClassesThat().areAssignableTo(Thread.class)
                 .orShould().dependOnClassesThat().resideInAnyPackage("java.nio.file..", "java.nio.channels..", "java.net..",
@@ -54,7 +55,7 @@
     void standInsAndRefereeShareNothingWithTheBalancer() {
         noClasses().that().resideInAPackage("frostrelay.rig..").should().dependOnClassesThat().resideInAnyPackage(
                 "frostrelay.node..", "frostrelay.policy..", "frostrelay.console..", "frostrelay.lifecycle..",
-                "frostrelay.cli..", "frostrelay.peers..", "frostrelay.audit..", "frostrelay.start..").check(ALL);
+                "frostrelay.cli..", "frostrelay.peers..", "frostrelay.audit..", "frostrelay.stragglers..", "frostrelay.start..").check(ALL);
     }
 
     @Test
--- a/cli/src/test/java/frostrelay/cli/CampaignTest.java
+++ b/cli/src/test/java/frostrelay/cli/CampaignTest.java
@@ -9,6 +9,7 @@
 import frostrelay.audit.store.Collected;
 import frostrelay.rig.campaign.Campaign;
 import frostrelay.rig.campaign.CampaignPlay;
+import frostrelay.rig.campaign.Matter;
 import frostrelay.rig.campaign.Schedule;
 import frostrelay.rig.campaign.ScheduleFile;
 import frostrelay.start.Defect;
@@ -30,7 +31,7 @@
     private Path folder;
 
     private List<CampaignPlay.Outcome> play(List<Schedule> schedules, String defect) throws Exception {
-        return new Campaign(folder, false, CampaignCommand.launch(), defect, line -> { }).play(schedules, AT_ONCE);
+        return new Campaign(Matter.AUDIT, folder, false, CampaignCommand.launch(), defect, line -> { }).play(schedules, AT_ONCE);
     }
 
     @Test
@@ -59,7 +60,7 @@
         java.util.concurrent.ExecutorService pool = java.util.concurrent.Executors.newFixedThreadPool(AT_ONCE);
         for (String defect : Defect.words()) {
             pool.submit(() -> {
-                CampaignPlay.Outcome outcome = CampaignPlay.play(schedule, folder.resolve(defect),
+                CampaignPlay.Outcome outcome = CampaignPlay.play(Matter.AUDIT, schedule, folder.resolve(defect),
                         CampaignCommand.launch(), defect);
                 if (outcome.violations().isEmpty()) {
                     missed.add(defect);
@@ -84,7 +85,7 @@
     @Test
     void theToolsSayWhoWasBehindAndWhatTheyCannotKnow() throws Exception {
         Schedule schedule = ScheduleFile.read(Path.of("../deploy/campaign/straggler.toml"));
-        CampaignPlay.Outcome outcome = CampaignPlay.play(schedule, folder, CampaignCommand.launch(), null);
+        CampaignPlay.Outcome outcome = CampaignPlay.play(Matter.AUDIT, schedule, folder, CampaignCommand.launch(), null);
         assertEquals(List.of(), outcome.violations());
         List<String> complaints = new ArrayList<>();
         List<Life> lives = Collected.lives(folder, complaints);
--- a/emulator/src/main/java/frostrelay/emulator/SimPeers.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimPeers.java
@@ -306,6 +306,11 @@
             // Rows say who acts on it.
         }
 
+        @Override
+        public void onAway(long now, int from, long rev, long cache) {
+            // Nobody lists caches here.
+        }
+
         @Override
         public void onClock(long now, int rank, long incarnation, long sent, long theirMs) {
             // Nobody puts moments in order here.
--- a/node/src/main/java/frostrelay/log/Event.java
+++ b/node/src/main/java/frostrelay/log/Event.java
@@ -40,6 +40,11 @@
     PEERS_SILENT(Level.WARN, "It was to talk with its peers and does not.", "reason"),
     PEER_STATE(Level.INFO, "What is believed of another balancer has changed. At most 200 such lines between two counts.",
             "number", "state", "said-by"),
+    STRAGGLER(Level.WARN, "This balancer has become a straggler, or is none any more, or a version has two contents.", "what"),
+    AVOIDS(Level.INFO, "So many caches are avoided on others' word until the own list has caught up.", "caches", "list",
+            "others-list"),
+    STEPS_ASIDE(Level.WARN, "Behind for long and not brought up, it sends clients away until it is current.", "why"),
+    COMES_BACK(Level.INFO, "It is current again, or may not be aside, and takes clients.", "why"),
     AUDIT_LACKS(Level.ERROR, "The audit's record cannot be written; what is missing is named in it as a gap. Service goes on.",
             "reason"),
     REHEARSED(Level.INFO, "The build has played a balancer's life once.", "answers");
--- a/node/src/main/java/frostrelay/node/Acting.java
+++ b/node/src/main/java/frostrelay/node/Acting.java
@@ -5,11 +5,11 @@
 import frostrelay.peers.Stamp;
 import frostrelay.policy.Api;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /** Puts the stamp together that this balancer acts under, has every change of it entered, and counts what is done. */
@@ -17,17 +17,26 @@
     private record Listed(int number, boolean ready, long bootMs, long digest) {
     }
 
+    /** Hears of changes. */
+    interface Changes {
+        /** It acts on this from now on. */
+        void onStamp(Stamp stamp);
+
+        /** By the list of that version a cache, by its number, may be used or may not. */
+        void onCache(long rev, long cache, boolean ready);
+    }
+
     private final AuditLog audit;
     private final LongSupplier wall;
-    private final Consumer<Stamp> changed;
+    private final Changes changes;
     private final Map<String, Listed> list = new HashMap<>();
     private long listDigest;
 
-    /** {@code audit}: has the first stamp; {@code changed}: hears of each later one. */
-    Acting(AuditLog audit, LongSupplier wall, Consumer<Stamp> changed) {
+    /** {@code audit}: has the first stamp; {@code changes}: hears of each later one. */
+    Acting(AuditLog audit, LongSupplier wall, Changes changes) {
         this.audit = audit;
         this.wall = wall;
-        this.changed = changed;
+        this.changes = changes;
     }
 
     /** What a balancer acts on before it has taken any list. */
@@ -43,9 +52,9 @@
         if (mode != Api.ListMode.DELTA) {
             Set<String> unnamed = new TreeSet<>(list.keySet());
             members.forEach(member -> unnamed.remove(member.uid()));
-            unnamed.forEach(uid -> put(uid, Api.State.GONE, list.get(uid).bootMs));
+            unnamed.forEach(uid -> put(rev, uid, Api.State.GONE, list.get(uid).bootMs));
         }
-        members.forEach(member -> put(member.uid(), member.server().state(),
+        members.forEach(member -> put(rev, member.uid(), member.server().state(),
                 member.server().startedAt() / Clock.MILLISECOND));
         Stamp now = audit.stamp();
         change(new Stamp(now.build(), now.confNumber(), now.confDigest(), rev, listDigest, now.holds(), now.terms()),
@@ -53,7 +62,7 @@
     }
 
     /** The list's digest is a sum, so that it is the same in whatever order entries come and go. */
-    private void put(String uid, Api.State state, long bootMs) {
+    private void put(long rev, String uid, Api.State state, long bootMs) {
         Listed before = list.get(uid);
         if (state == Api.State.GONE && before == null) {
             return;
@@ -64,6 +73,9 @@
         boolean ready = state == Api.State.READY;
         if (before == null || before.ready != ready || before.bootMs != bootMs) {
             audit.lists(Clock.now(), number, ready, bootMs);
+            if (before != null || ready) {
+                changes.onCache(rev, Catalog.hash(uid), ready);
+            }
         }
         if (state == Api.State.GONE) {
             list.remove(uid);
@@ -72,6 +84,17 @@
         }
     }
 
+    /** The caches that the list names as ready, by their numbers. */
+    Set<Long> ready() {
+        Set<Long> ready = new HashSet<>();
+        list.forEach((uid, listed) -> {
+            if (listed.ready) {
+                ready.add(Catalog.hash(uid));
+            }
+        });
+        return ready;
+    }
+
     @Override
     public void onConfig(Config config) {
         Stamp now = audit.stamp();
@@ -90,7 +113,7 @@
     private void change(Stamp fresh, Cause why) {
         if (!fresh.equals(audit.stamp())) {
             audit.acts(Clock.now(), wall.getAsLong(), fresh, why);
-            changed.accept(fresh);
+            changes.onStamp(fresh);
         }
     }
 
--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -171,6 +171,8 @@
     private final Budget budget;
     private final Witness witness;
     private final Queue<Event> events = new ArrayDeque<>();
+    private Set<Long> held = Set.of();
+    private Set<Long> avoided = Set.of();
     private boolean inModule;
     private long lastId;
 
@@ -285,8 +287,27 @@
         Set<Long> servers = new HashSet<>();
         names.forEach(name -> servers.add(Catalog.hash(name)));
         witness.onHolds(names);
-        pool.hold(servers);
-        post(null, () -> router.onHolds(Clock.now(), servers));
+        held = servers;
+        rule();
+    }
+
+    /** These are avoided on others' word, besides what operators hold. */
+    void onAvoid(Set<Long> servers) {
+        avoided = servers;
+        rule();
+    }
+
+    private void rule() {
+        Set<Long> out = new HashSet<>(held);
+        out.addAll(avoided);
+        Set<Long> all = Set.copyOf(out);
+        pool.hold(all);
+        post(null, () -> router.onHolds(Clock.now(), all));
+    }
+
+    /** Discovery is asked anew. */
+    void refresh() {
+        discovery.refresh();
     }
 
     /** Whether the list names a server so. */
--- a/node/src/main/java/frostrelay/node/Discovery.java
+++ b/node/src/main/java/frostrelay/node/Discovery.java
@@ -70,6 +70,15 @@
         }
     }
 
+    /** Asks anew from the last known version: what the call that is out should have told may have been lost. */
+    void refresh() {
+        if (current != null) {
+            current.drop();
+            current = new Call();
+            current.start();
+        }
+    }
+
     /**
      * Discovery is to be found elsewhere. The call to the old address is dropped without a word, as its end is
      * no failure that anyone should wait after, and the new address is asked at once: the old one tells nothing
--- a/node/src/main/java/frostrelay/node/Fleet.java
+++ b/node/src/main/java/frostrelay/node/Fleet.java
@@ -14,6 +14,8 @@
 import frostrelay.peers.Peers;
 import frostrelay.peers.Stamp;
 import frostrelay.peers.State;
+import frostrelay.stragglers.StragglerSettings;
+import frostrelay.stragglers.Stragglers;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -27,6 +29,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.zip.CRC32C;
 
 /** This balancer's part in its tier: its talk with the others and its account of itself. Both may be off. */
@@ -35,12 +39,24 @@
     private static final long TICK = Clock.SECOND;
     private static final int MOST_PEERS = 4096;
 
+    /** What the fleet may lead this balancer to. */
+    interface Lead {
+        /** Discovery is asked anew. */
+        void refresh();
+
+        /** Exactly these caches are avoided on others' word. */
+        void avoid(Set<Long> caches);
+
+        /** It steps aside, or comes back. */
+        void aside(boolean on);
+    }
+
     /** What the options and the platform allow; both have to. */
-    static Fleet of(Config config, FleetOptions options, Seams seams, EventLoop loop, Counters counters) {
+    static Fleet of(Config config, FleetOptions options, Seams seams, EventLoop loop, Counters counters, Lead lead) {
         if (!options.peers() && !options.audit()) {
             return ALONE;
         }
-        return new Member(config, options, seams, loop, counters);
+        return new Member(config, options, seams, loop, counters, lead);
     }
 
     Witness witness() {
@@ -77,7 +93,7 @@
     void close() {
     }
 
-    private static final class Member extends Fleet implements Peers.Listener {
+    private static final class Member extends Fleet implements Peers.Listener, Acting.Changes, Stragglers.Actions {
         private final FleetOptions options;
         private final Seams seams;
         private final Config config;
@@ -90,13 +106,20 @@
         private final AuditLog audit;
         private final Acting acting;
         private final PeerPort port;
+        private final EventLoop loop;
+        private final Lead lead;
+        /** Null where it does not care, or has no peers. */
+        private final Stragglers stragglers;
+        private long wakeAt = Long.MAX_VALUE;
         private final int count;
         private boolean serving;
         private long tickAt;
         private volatile String lacks;
 
-        Member(Config config, FleetOptions options, Seams seams, EventLoop loop, Counters counters) {
+        Member(Config config, FleetOptions options, Seams seams, EventLoop loop, Counters counters, Lead lead) {
             this.config = config;
+            this.loop = loop;
+            this.lead = lead;
             this.options = options;
             this.seams = seams;
             this.counters = counters;
@@ -117,7 +140,9 @@
                     config.name(), rank, incarnation, first);
             port = addresses.isEmpty() ? null : new PeerPort(loop, Catalog.address(Json.get(config.json(),
                     "peer_listen", String.class)), addresses, this::talk);
-            acting = new Acting(audit, seams.wall(), this::changed);
+            stragglers = port == null || !options.stragglers() ? null : new Stragglers(StragglerSettings.STANDARD, rank,
+                    count, config.seed() ^ incarnation, first, this);
+            acting = new Acting(audit, seams.wall(), this);
         }
 
         /** Those of all balancers; none where the platform gives none, or does not allow it. */
@@ -178,11 +203,72 @@
                     actions, this);
         }
 
-        private void changed(Stamp stamp) {
+        @Override
+        public void onStamp(Stamp stamp) {
             if (port != null && port.peers() != null) {
                 port.peers().onStamp(Clock.now(), stamp, audit.sequence());
                 port.schedule();
             }
+            if (stragglers != null) {
+                stragglers.onOwn(Clock.now(), stamp, acting.ready());
+                schedule();
+            }
+        }
+
+        @Override
+        public void onCache(long rev, long cache, boolean ready) {
+            if (stragglers == null || port.peers() == null) {
+                return;
+            }
+            if (ready) {
+                port.peers().tellBack(cache);
+            } else {
+                port.peers().tellAway(Clock.now(), rev, cache);
+            }
+        }
+
+        /** What is known of a peer may have changed. */
+        private void consider(int number) {
+            // Within the talk's own first words there is nothing to ask yet.
+            if (stragglers != null && port.peers() != null && number != rank) {
+                Known known = port.peers().known(Clock.now(), number);
+                stragglers.onPeer(Clock.now(), number, known.state(), known.stamp());
+                schedule();
+            }
+        }
+
+        private void schedule() {
+            long next = stragglers.next();
+            if (next < wakeAt) {
+                wakeAt = next;
+                loop.schedule(() -> {
+                    wakeAt = Long.MAX_VALUE;
+                    stragglers.onWake(Clock.now());
+                    schedule();
+                }, Math.max(0, next - Clock.now()), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        @Override
+        public void ask() {
+            lead.refresh();
+        }
+
+        @Override
+        public void avoid(Set<Long> caches) {
+            Log.write(Event.AVOIDS, caches.size(), audit.stamp().listRev(), stragglers.newest());
+            lead.avoid(caches);
+        }
+
+        @Override
+        public void aside(boolean on, String why) {
+            Log.write(on ? Event.STEPS_ASIDE : Event.COMES_BACK, why);
+            lead.aside(on);
+        }
+
+        @Override
+        public void tell(String what) {
+            Log.write(Event.STRAGGLER, what);
         }
 
         @Override
@@ -223,6 +309,10 @@
             if (now >= tickAt) {
                 tickAt = now + TICK;
                 audit.tick(now, seams.wall().getAsLong());
+                if (stragglers != null && port.peers() != null) {
+                    stragglers.onDeaf(now, port.peers().deaf(now));
+                    schedule();
+                }
             }
         }
 
@@ -254,6 +344,13 @@
             told.put("sinceMs", (now - audit.since()) / Clock.MILLISECOND);
             told.put("why", audit.cause().name().toLowerCase(Locale.ROOT));
             told.put("record", folder == null ? "memory" : lacks == null ? "folder" : "folder, lacking: " + lacks);
+            if (stragglers != null) {
+                told.put("standing", stragglers.standing().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+                told.put("newestList", stragglers.newest() == Long.MIN_VALUE ? "unknown" : stragglers.newest());
+                told.put("avoids", stragglers.avoided().size());
+                told.put("asked", stragglers.asks());
+                told.put("aside", stragglers.isAside());
+            }
             told.put("peers", peers == null ? "silent" : peers(peers, now));
             if (peers != null) {
                 told.put("datagrams", counts(peers));
@@ -325,6 +422,15 @@
             if (counters.mayTell()) {
                 Log.write(Event.PEER_STATE, number, state.name().toLowerCase(Locale.ROOT), by);
             }
+            consider(number);
+        }
+
+        @Override
+        public void onAway(long now, int from, long rev, long cache) {
+            if (stragglers != null) {
+                stragglers.onAway(now, from, rev, cache);
+                schedule();
+            }
         }
 
         @Override
@@ -335,11 +441,15 @@
         @Override
         public void onRow(long now, int number, long of, int sequence, int ref, long age) {
             audit.onRow(now, number, of, sequence, ref, age);
+            consider(number);
         }
 
         @Override
         public void onContent(long now, int ref, Stamp stamp) {
-            // The record of who acts on it has it.
+            // The record of who acts on it has it. Peers that were heard of before their stamp's content was:
+            for (int i = 0; stragglers != null && port.peers() != null && i < count; i++) {
+                consider(i);
+            }
         }
 
         @Override
--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -51,6 +51,8 @@
     private final Balancer balancer;
     private final ClientServer server;
     private final Fleet fleet;
+    /** It drains because it lags behind. */
+    private boolean aside;
     private Phase phase = Phase.STARTING;
     /** Further processes of this balancer: descriptors are shared with them. */
     private int others;
@@ -71,7 +73,22 @@
          SharedFolder.Look shared, Options options, Seams seams) {
         this.config = config;
         countEvery(options.counts());
-        this.fleet = Fleet.of(config, options.fleet(), seams, loop, counters);
+        this.fleet = Fleet.of(config, options.fleet(), seams, loop, counters, new Fleet.Lead() {
+            @Override
+            public void refresh() {
+                balancer.refresh();
+            }
+
+            @Override
+            public void avoid(Set<Long> caches) {
+                balancer.onAvoid(caches);
+            }
+
+            @Override
+            public void aside(boolean on) {
+                stepAside(on);
+            }
+        });
         this.loop = loop;
         this.folder = folder;
         int all = config.sockets();
@@ -221,6 +238,16 @@
         return fleet.record();
     }
 
+    /** As a drain does, but an operators' drain is theirs to end. */
+    private void stepAside(boolean on) {
+        if (on && phase == Phase.SERVING) {
+            aside = true;
+            startDrain();
+        } else if (!on && aside) {
+            stopDrain();
+        }
+    }
+
     @Override
     public boolean ready() {
         return phase == Phase.SERVING;
@@ -237,6 +264,7 @@
 
     @Override
     public void stopDrain() {
+        aside = false;
         if (phase == Phase.DRAINING) {
             Log.write(Event.DRAIN_ENDS);
             phase = Phase.SERVING;
--- a/peers/src/main/java/frostrelay/peers/Datagram.java
+++ b/peers/src/main/java/frostrelay/peers/Datagram.java
@@ -36,9 +36,12 @@
     static final int LEFT = 5;
     static final int WANT = 6;
     static final int CLOCK = 7;
+    static final int AWAY = 8;
 
     static final int ROW = 11;
     static final int CLAIM = 10;
+    /** A list's version and a cache. */
+    static final int AWAY_BYTES = 2 * Long.BYTES;
 
     /** Why a datagram is passed over. */
     enum Flaw { DAMAGED, FOREIGN, OVERSIZED, NEWER }
--- a/peers/src/main/java/frostrelay/peers/Peers.java
+++ b/peers/src/main/java/frostrelay/peers/Peers.java
@@ -36,6 +36,9 @@
         /** The content of a stamp is known now. */
         void onContent(long now, int ref, Stamp stamp);
 
+        /** A peer says, by its own list of that version, that a cache is not to be used. */
+        void onAway(long now, int from, long rev, long cache);
+
         /** A peer answered a probe: its life was {@code theirMs} old at some moment between {@code sent} and now. */
         void onClock(long now, int rank, long incarnation, long sent, long theirMs);
     }
@@ -126,6 +129,8 @@
     /** Those asked for others, by the nonce of the probe that went out for it. */
     private final Map<Integer, Relay> relays = new LinkedHashMap<>();
     private final Map<Integer, Stamp> stamps;
+    /** Caches that the own list ruled out lately, and by which version. */
+    private final Map<Long, Long> aways = new LinkedHashMap<>();
     private final int[] order;
     private int orderAt;
     private int rowAt;
@@ -326,6 +331,11 @@
                         }
                     }
                 }
+                case Datagram.AWAY -> {
+                    while (section.remaining() >= Datagram.AWAY_BYTES) {
+                        listener.onAway(now, in.sender, section.getLong(), section.getLong());
+                    }
+                }
                 case Datagram.CLOCK -> {
                     if (in.kind == Datagram.Kind.PONG && length >= Integer.BYTES && in.nonce == probeNonce
                             && in.sender == target && in.subject == NOBODY) {
@@ -427,6 +437,19 @@
         tellOwn(now);
     }
 
+    /** By this balancer's own list of a version, a cache is not to be used any more. Others that act on an older one care. */
+    public void tellAway(long now, long rev, long cache) {
+        if (aways.size() < MOST_STAMPS) {
+            aways.put(cache, rev);
+            rumour(now, Datagram.AWAY, NOBODY, cache, me, (int) cache);
+        }
+    }
+
+    /** By this balancer's own list, a cache may be used. */
+    public void tellBack(long cache) {
+        aways.remove(cache);
+    }
+
     // Suspicion.
 
     private void suspect(long now, int rank, int by) {
@@ -546,7 +569,8 @@
         }
     }
 
-    private boolean deaf(long now) {
+    /** Whether nobody was heard for so long that nothing is known of the others. */
+    public boolean deaf(long now) {
         return now - heardAt >= settings.deaf();
     }
 
@@ -610,6 +634,7 @@
         }
         putRows(now, List.of(me), Datagram.MOST);
         want(to);
+        remind(to);
         if (filled) {
             fill(now);
         }
@@ -624,6 +649,20 @@
         }
     }
 
+    /** A peer that acts on an older list may have missed which caches it should leave alone. */
+    private void remind(int to) {
+        Stamp theirs = aways.isEmpty() ? null : stamps.get(members.refs[to]);
+        if (theirs == null) {
+            return;
+        }
+        for (Map.Entry<Long, Long> away : aways.entrySet()) {
+            if (away.getValue() > theirs.listRev() && Datagram.room(out, Datagram.MOST) >= Datagram.AWAY_BYTES) {
+                out.put((byte) Datagram.AWAY).put((byte) Datagram.AWAY_BYTES).putLong(away.getValue())
+                        .putLong(away.getKey());
+            }
+        }
+    }
+
     /** Rows in turn, up to a size at which a probe is still cheap; none while there is more urgent talk. */
     private void fill(long now) {
         if (ceiling.room(now) < settings.ceiling() / 2) {
@@ -656,6 +695,7 @@
         }
         putRows(now, List.of(me), Datagram.MOST);
         want(in.sender);
+        remind(in.sender);
         fill(now);
         post(now, in.sender);
     }
@@ -734,6 +774,7 @@
             int need = Datagram.SECTION + switch (item.type) {
                 case Datagram.STAMP -> Stamp.BYTES;
                 case Datagram.ROWS -> Datagram.ROW + Integer.BYTES;
+                case Datagram.AWAY -> Datagram.AWAY_BYTES;
                 default -> Datagram.CLAIM;
             };
             if (Datagram.room(out, most) - rowRoom < need - Datagram.SECTION) {
@@ -754,6 +795,13 @@
                         rowRoom += need;
                     }
                 }
+                case Datagram.AWAY -> {
+                    Long rev = aways.get(item.incarnation);
+                    if (rev != null) {
+                        out.put((byte) Datagram.AWAY).put((byte) Datagram.AWAY_BYTES).putLong(rev)
+                                .putLong(item.incarnation);
+                    }
+                }
                 default -> putClaim(item.type, item.rank, item.incarnation, item.by);
             }
             told.add(item);
--- a/peers/src/main/java/frostrelay/peers/Rumours.java
+++ b/peers/src/main/java/frostrelay/peers/Rumours.java
@@ -16,7 +16,8 @@
     private static final int MOST = 512;
     private static final int TYPE_SHIFT = 40;
 
-    /** One item. For stamps only {@code ref} counts; for rows the table has the values at the moment of sending. */
+    /** One item. For stamps only {@code ref} counts, for caches that is the lower half
+     * of the number and {@code incarnation} the whole; for rows the table has the values at the moment of sending. */
     static final class Item {
         final int type;
         final int rank;
@@ -48,6 +49,8 @@
                 case Datagram.STAMP -> (long) type << TYPE_SHIFT | ref & 0xffffffffL;
                 case Datagram.SUSPECT -> (long) type << TYPE_SHIFT | (long) rank << Short.SIZE | by;
                 case Datagram.ROWS -> (long) type << TYPE_SHIFT | rank;
+                // By the lower half of the cache's number: two that share it would be told one after the other.
+                case Datagram.AWAY -> (long) type << TYPE_SHIFT | ref & 0xffffffffL;
                 default -> (long) Datagram.GONE << TYPE_SHIFT | rank;
             };
         }
--- a/peers/src/test/java/frostrelay/peers/Net.java
+++ b/peers/src/test/java/frostrelay/peers/Net.java
@@ -86,6 +86,11 @@
             // Likewise.
         }
 
+        @Override
+        public void onAway(long moment, int from, long rev, long cache) {
+            // Nobody lists caches here.
+        }
+
         @Override
         public void onClock(long moment, int other, long incarnation, long sent, long theirMs) {
             clocks++;
--- a/rig/src/main/java/frostrelay/rig/campaign/Campaign.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/Campaign.java
@@ -20,6 +20,7 @@
     /** Plays that a shrinking may take: beyond this a schedule is kept as it is then. */
     private static final int MOST_SHRINKS = 40;
 
+    private final Matter matter;
     private final Path folder;
     private final boolean keep;
     private final CampaignPlay.Launch launch;
@@ -27,7 +28,8 @@
     private final Consumer<String> lines;
 
     /** {@code folder}: of all plays; {@code keep}: also files of plays without violations; {@code defect}: put into one balancer, or null; {@code lines}: progress. */
-    public Campaign(Path folder, boolean keep, CampaignPlay.Launch launch, String defect, Consumer<String> lines) {
+    public Campaign(Matter matter, Path folder, boolean keep, CampaignPlay.Launch launch, String defect, Consumer<String> lines) {
+        this.matter = matter;
         this.folder = folder;
         this.keep = keep;
         this.launch = launch;
@@ -59,7 +61,7 @@
     }
 
     private CampaignPlay.Outcome play(Schedule schedule, Path into) throws IOException, InterruptedException {
-        CampaignPlay.Outcome outcome = CampaignPlay.play(schedule, into, launch, defect);
+        CampaignPlay.Outcome outcome = CampaignPlay.play(matter, schedule, into, launch, defect);
         lines.accept(schedule.name() + ": " + (outcome.violations().isEmpty() ? "kept" : outcome.violations().size()
                 + " violations, the first: " + outcome.violations().get(0).what()));
         if (outcome.violations().isEmpty() && !keep) {
@@ -75,7 +77,7 @@
         for (int i = least.happenings().size() - 1; i >= 0 && plays < MOST_SHRINKS; i--) {
             Schedule fewer = least.without(i);
             Path into = folder.resolve(failing.name() + "-shrink-" + plays++);
-            boolean fails = !CampaignPlay.play(fewer, into, launch, defect).violations().isEmpty();
+            boolean fails = !CampaignPlay.play(matter, fewer, into, launch, defect).violations().isEmpty();
             remove(into);
             if (fails) {
                 least = fewer;
--- a/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
@@ -23,6 +23,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -83,10 +84,13 @@
             name = "t"
             share = 1.0
             """;
+    /** In place of a defect: the matter's own part stays off, to compare with. */
+    public static final String OFF = "off";
     private static final int RATE_EACH = 40;
     /** What an upgrade brings goes by this: two builds talk and keep records side by side. */
     private static final int NEXT_BUILD = 77;
 
+    private final Matter matter;
     private final Schedule schedule;
     private final Path folder;
     private final Launch launch;
@@ -111,7 +115,8 @@
     private final AtomicIntegerArray changes;
     private final AtomicInteger pending = new AtomicInteger();
 
-    private CampaignPlay(Schedule schedule, Path folder, Launch launch, String defect) {
+    private CampaignPlay(Matter matter, Schedule schedule, Path folder, Launch launch, String defect) {
+        this.matter = matter;
         this.schedule = schedule;
         this.folder = folder;
         this.launch = launch;
@@ -125,9 +130,9 @@
     }
 
     /** Plays it; {@code defect}: put into the last balancer, or null. */
-    public static Outcome play(Schedule schedule, Path folder, Launch launch, String defect)
+    public static Outcome play(Matter matter, Schedule schedule, Path folder, Launch launch, String defect)
             throws IOException, InterruptedException {
-        CampaignPlay play = new CampaignPlay(schedule, folder, launch, defect);
+        CampaignPlay play = new CampaignPlay(matter, schedule, folder, launch, defect);
         try {
             return play.play();
         } finally {
@@ -146,7 +151,10 @@
         List<String> properties = new ArrayList<>(List.of("-Dfrostrelay.peers=on", "-Dfrostrelay.audit=on",
                 "-Dfrostrelay.audit.each=on", "-Dfrostrelay.audit.folder=audit",
                 "-Dfrostrelay.campaign.wall=" + own.resolve("wall"), "-Dfrostrelay.campaign.build=" + build));
-        if (defect != null && place == names.size() - 1) {
+        if (matter == Matter.STRAGGLERS && !OFF.equals(defect)) {
+            properties.add("-Dfrostrelay.stragglers=on");
+        }
+        if (defect != null && !OFF.equals(defect) && place == names.size() - 1) {
             properties.add("-Dfrostrelay.campaign.defect=" + defect);
         }
         return new Program(launch.command(properties));
@@ -265,6 +273,11 @@
             }
         }
         Map<String, Object> figures = new LinkedHashMap<>(check.figures());
+        if (matter == Matter.STRAGGLERS) {
+            StragglerCheck further = new StragglerCheck(history, records, names, asides(), end);
+            violations.addAll(further.run());
+            figures.putAll(further.figures());
+        }
         long[] carried = relay.carried();
         if (carried[2] > 256) {
             violations.add(new Violation("datagrams", "one of " + carried[2] + " bytes"));
@@ -277,6 +290,22 @@
         return new Outcome(schedule, List.copyOf(violations), figures, folder);
     }
 
+    /** When balancers stepped aside and came back, by what they logged. */
+    private List<long[]> asides() throws IOException {
+        List<long[]> all = new ArrayList<>();
+        for (int i = 0; i < names.size(); i++) {
+            for (String line : Files.readAllLines(folder.resolve(names.get(i)).resolve("balancer.log"))) {
+                int step = line.contains("\"steps-aside\"") ? 1 : line.contains("\"comes-back\"") ? -1 : 0;
+                if (step != 0) {
+                    all.add(new long[] {history.ofWall(Instant.parse(String.valueOf(JSON.std.mapFrom(line).get("time")))
+                            .toEpochMilli(), 0), i, step});
+                }
+            }
+        }
+        all.sort((a, b) -> Long.compare(a[0], b[0]));
+        return all;
+    }
+
     /** All folders in which a balancer kept its record. */
     private List<Path> folders(String name) throws IOException {
         List<Path> folders = new ArrayList<>();
--- a/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
@@ -46,6 +46,42 @@
         return new Schedule("seed-" + seed, seed, processes, length, all);
     }
 
+    /**
+     * Drawn by a seed: the list changes often, and discovery tells a part of the fleet late, old lists or nothing; one is
+     * frozen, some do not hear each other.
+     */
+    static Schedule drawnOfStragglers(long seed, int processes, long length) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 0x9E3779B97F4A7C15L - processes);
+        List<Happening> all = new ArrayList<>();
+        long span = length - SETTLE - FIRST;
+        for (int i = 0; i < 5; i++) {
+            // One after the other, each a cache of its own, two at a time at most: the fleet has room for that.
+            long at = FIRST + span * i / 6 + random.nextLong(span / 6);
+            all.add(new Happening(at, Happening.Kind.DRAIN, List.of(), List.of(i % CACHES), 0,
+                    Math.min(FIRST + span - at, span / 6 + random.nextLong(span / 6))));
+        }
+        Happening.Kind[] late = {Happening.Kind.DISCOVERY_CUT, Happening.Kind.DISCOVERY_LATE, Happening.Kind.DISCOVERY_OLD};
+        for (int i = 0; i < 3; i++) {
+            long at = FIRST / 2 + random.nextLong(span / 2);
+            List<Integer> who = some(random, processes, 1 + random.nextInt(Math.max(1, processes / 2)));
+            all.add(new Happening(at, late[random.nextInt(late.length)], who, List.of(), 3_000 + random.nextInt(7_000),
+                    Math.min(FIRST + span - at, 2 * SECOND + random.nextLong(5 * SECOND))));
+        }
+        long at = FIRST + random.nextLong(span / 2);
+        all.add(new Happening(at, Happening.Kind.FREEZE, some(random, processes, 1), List.of(), 0,
+                Math.min(FIRST + span - at, SECOND + random.nextLong(4 * SECOND))));
+        List<Integer> every = some(random, processes, processes);
+        switch (random.nextInt(4)) {
+            case 0 -> all.add(new Happening(at, Happening.Kind.PARTITION, some(random, processes, processes / 2), List.of(), 0,
+                    Math.min(FIRST + span - at, 3 * SECOND)));
+            case 1 -> all.add(new Happening(FIRST, Happening.Kind.LOSS, every, every, 0.3, span));
+            case 2 -> all.add(new Happening(at, Happening.Kind.FORGE, some(random, processes, 1), every, 0, 0));
+            default -> all.add(new Happening(FIRST, Happening.Kind.DELAY, every, every, 200, span));
+        }
+        all.sort((a, b) -> Long.compare(a.at(), b.at()));
+        return new Schedule("stragglers-" + seed, seed, processes, length, all);
+    }
+
     private static void add(List<Happening> all, UniformRandomProvider random, int processes, long span,
                             List<Integer> killed) {
         Happening.Kind[] kinds = Happening.Kind.values();
