--- a/cli/src/main/java/frostrelay/start/Defect.java
+++ b/cli/src/main/java/frostrelay/start/Defect.java
@@ -2,9 +2,14 @@
 
 import frostrelay.audit.Entry;
 import frostrelay.audit.Recorder;
+import frostrelay.rig.campaign.Matter;
+import frostrelay.stragglers.Stragglers;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 
 /** Faults put into a balancer's account of itself, by which checkers are proved: each has to be found. */
 public enum Defect {
@@ -58,6 +63,73 @@
             };
         }
     },
+    DEAF_TO_HEARSAY("What others know of caches changes nothing.", Matter.STRAGGLERS) {
+        @Override
+        Stragglers.Actions into(Stragglers.Actions inner) {
+            return new Passing(inner) {
+                @Override
+                public void avoid(Set<Long> caches) {
+                    // Not carried out.
+                }
+            };
+        }
+    },
+    LATE_HEARSAY("What is avoided is what was to be avoided before the last change.", Matter.STRAGGLERS) {
+        @Override
+        Stragglers.Actions into(Stragglers.Actions inner) {
+            return new Passing(inner) {
+                private Set<Long> before = Set.of();
+
+                @Override
+                public void avoid(Set<Long> caches) {
+                    inner.avoid(before);
+                    before = caches;
+                }
+            };
+        }
+    },
+    NEVER_BACK("What was avoided once is avoided for good.", Matter.STRAGGLERS) {
+        @Override
+        Stragglers.Actions into(Stragglers.Actions inner) {
+            return new Passing(inner) {
+                private final Set<Long> all = new HashSet<>();
+
+                @Override
+                public void avoid(Set<Long> caches) {
+                    all.addAll(caches);
+                    inner.avoid(Set.copyOf(all));
+                }
+            };
+        }
+    },
+    AVOIDS_OTHERS("Where one cache is to be avoided, five others are.", Matter.STRAGGLERS) {
+        @Override
+        Stragglers.Actions into(Stragglers.Actions inner) {
+            return new Passing(inner) {
+                @Override
+                public void avoid(Set<Long> caches) {
+                    Set<Long> others = new HashSet<>();
+                    for (int i = 1; !caches.isEmpty() && i <= 6; i++) {
+                        others.add(fnv("cache-" + i));
+                    }
+                    others.removeAll(caches);
+                    inner.avoid(others);
+                }
+            };
+        }
+    },
+    ASIDE_WITHOUT_PLACE("It steps aside at any hearsay, whatever its number.", Matter.STRAGGLERS) {
+        @Override
+        Stragglers.Actions into(Stragglers.Actions inner) {
+            return new Passing(inner) {
+                @Override
+                public void avoid(Set<Long> caches) {
+                    inner.avoid(caches);
+                    inner.aside(!caches.isEmpty(), "a defect");
+                }
+            };
+        }
+    },
     SKIPPED_STAMP("Every other change is not entered, and what was done under it goes by the one before.") {
         @Override
         Recorder into(Recorder inner) {
@@ -68,11 +140,25 @@
     /** What it does. */
     public final String meaning;
 
+    /** Which campaign has to find it. */
+    public final Matter matter;
+
     Defect(String meaning) {
+        this(meaning, Matter.AUDIT);
+    }
+
+    Defect(String meaning, Matter matter) {
         this.meaning = meaning;
+        this.matter = matter;
     }
 
-    abstract Recorder into(Recorder inner);
+    Recorder into(Recorder inner) {
+        return inner;
+    }
+
+    Stragglers.Actions into(Stragglers.Actions inner) {
+        return inner;
+    }
 
     /** As the command line names it. */
     public String word() {
@@ -84,6 +170,11 @@
         return Arrays.stream(values()).map(Defect::word).toList();
     }
 
+    /** The words of those that campaigns of a matter have to find. */
+    public static List<String> of(Matter matter) {
+        return Arrays.stream(values()).filter(one -> one.matter == matter).map(Defect::word).toList();
+    }
+
     static Defect of(String word) {
         return valueOf(word.toUpperCase(Locale.ROOT).replace('-', '_'));
     }
@@ -98,6 +189,44 @@
         return entry;
     }
 
+    /** FNV-1a, by which balancers number caches. */
+    private static long fnv(String text) {
+        long hash = 0xcbf29ce484222325L;
+        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ (b & 0xff)) * 0x100000001b3L;
+        }
+        return hash;
+    }
+
+    /** Carries everything out as it should be. */
+    private static class Passing implements Stragglers.Actions {
+        private final Stragglers.Actions inner;
+
+        Passing(Stragglers.Actions inner) {
+            this.inner = inner;
+        }
+
+        @Override
+        public void ask() {
+            inner.ask();
+        }
+
+        @Override
+        public void avoid(Set<Long> caches) {
+            inner.avoid(caches);
+        }
+
+        @Override
+        public void aside(boolean on, String why) {
+            inner.aside(on, why);
+        }
+
+        @Override
+        public void tell(String what) {
+            inner.tell(what);
+        }
+    }
+
     private static final class LateStamp implements Recorder {
         private static final long LATE = 1_500_000_000L;
         private final Recorder inner;
--- a/cli/src/main/java/frostrelay/start/Start.java
+++ b/cli/src/main/java/frostrelay/start/Start.java
@@ -4,6 +4,7 @@
 import frostrelay.node.Options;
 import frostrelay.node.Program;
 import frostrelay.node.Seams;
+import frostrelay.stragglers.Stragglers;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -23,8 +24,9 @@
     /** Takes no arguments; the JVM's properties say the rest. */
     public static void main(String[] args) {
         String defect = System.getProperty(PREFIX + "defect");
-        UnaryOperator<Recorder> recorder = defect == null ? UnaryOperator.identity() : Defect.of(defect)::into;
-        Program.start(System.getenv("GW_CONFIG"), Options::ofProperties, new Seams(recorder, wall(),
+        UnaryOperator<Recorder> recorder = inner -> defect == null ? inner : Defect.of(defect).into(inner);
+        UnaryOperator<Stragglers.Actions> actions = inner -> defect == null ? inner : Defect.of(defect).into(inner);
+        Program.start(System.getenv("GW_CONFIG"), Options::ofProperties, new Seams(recorder, actions, wall(),
                 Integer.getInteger(PREFIX + "build", 0)));
     }
 
--- a/cli/src/test/java/frostrelay/cli/CampaignTest.java
+++ b/cli/src/test/java/frostrelay/cli/CampaignTest.java
@@ -25,7 +25,7 @@
 /** Real processes with faults between them: what they say of themselves is what the stand-ins saw. */
 class CampaignTest {
     private static final long SECOND = 1_000_000_000L;
-    private static final int AT_ONCE = 2;
+    private static final int AT_ONCE = 3;
 
     @TempDir
     private Path folder;
@@ -48,19 +48,35 @@
     /** Each seeded defect, in one of three balancers, is found; the same schedule without one is kept. */
     @Test
     void everySeededDefectIsFound() throws Exception {
-        Schedule schedule = ScheduleFile.parse("defects", """
+        missed(Matter.AUDIT, ScheduleFile.parse("defects", """
                 name = "defects"
                 seed = 3
                 processes = 3
                 length = "7s"
                 """ + happening("1s", "drain", "", "2", 0, "2500ms") + happening("1500ms", "config", "1 2 3", "", 1, "0ms")
-                + happening("2s", "drain", "", "4", 0, "2500ms"));
-        assertEquals(List.of(), play(List.of(schedule), null).get(0).violations());
+                + happening("2s", "drain", "", "4", 0, "2500ms")));
+    }
+
+    /** Discovery tells the last balancer, which has the defect, nothing while two caches drain one after the other. */
+    @Test
+    void everySeededDefectOfStragglersIsFound() throws Exception {
+        missed(Matter.STRAGGLERS, ScheduleFile.parse("defects", """
+                name = "defects"
+                seed = 4
+                processes = 4
+                length = "11s"
+                """ + happening("500ms", "discovery-old", "4", "", 0, "6500ms") + happening("1s", "drain", "", "2", 0, "5s")
+                + happening("3s", "drain", "", "4", 0, "3500ms")));
+    }
+
+    private void missed(Matter matter, Schedule schedule) throws Exception {
+        assertEquals(List.of(), CampaignPlay.play(matter, schedule, folder.resolve("without"), CampaignCommand.launch(), null)
+                .violations());
         List<String> missed = java.util.Collections.synchronizedList(new ArrayList<>());
         java.util.concurrent.ExecutorService pool = java.util.concurrent.Executors.newFixedThreadPool(AT_ONCE);
-        for (String defect : Defect.words()) {
+        for (String defect : Defect.of(matter)) {
             pool.submit(() -> {
-                CampaignPlay.Outcome outcome = CampaignPlay.play(Matter.AUDIT, schedule, folder.resolve(defect),
+                CampaignPlay.Outcome outcome = CampaignPlay.play(matter, schedule, folder.resolve(defect),
                         CampaignCommand.launch(), defect);
                 if (outcome.violations().isEmpty()) {
                     missed.add(defect);
@@ -151,6 +167,6 @@
             line.setErr(new java.io.PrintWriter(new java.io.StringWriter()));
             assertEquals(2, line.execute(words.toArray(String[]::new)), words.toString());
         }
-        assertFalse(Defect.words().size() < 5);
+        assertFalse(Defect.of(Matter.AUDIT).size() < 5 || Defect.of(Matter.STRAGGLERS).size() < 5);
     }
 }
--- a/node/src/main/java/frostrelay/node/Fleet.java
+++ b/node/src/main/java/frostrelay/node/Fleet.java
@@ -141,7 +141,7 @@
             port = addresses.isEmpty() ? null : new PeerPort(loop, Catalog.address(Json.get(config.json(),
                     "peer_listen", String.class)), addresses, this::talk);
             stragglers = port == null || !options.stragglers() ? null : new Stragglers(StragglerSettings.STANDARD, rank,
-                    count, config.seed() ^ incarnation, first, this);
+                    count, config.seed() ^ incarnation, first, seams.stragglers().apply(this));
             acting = new Acting(audit, seams.wall(), this);
         }
 
--- a/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
@@ -275,7 +275,9 @@
         Map<String, Object> figures = new LinkedHashMap<>(check.figures());
         if (matter == Matter.STRAGGLERS) {
             StragglerCheck further = new StragglerCheck(history, records, names, asides(), end);
-            violations.addAll(further.run());
+            List<Violation> others = further.run();
+            // Without the part that is looked at, its figures are wanted, not its promises.
+            violations.addAll(OFF.equals(defect) ? List.of() : others);
             figures.putAll(further.figures());
         }
         long[] carried = relay.carried();
--- a/rig/src/main/java/frostrelay/rig/campaign/StragglerCheck.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/StragglerCheck.java
@@ -18,6 +18,13 @@
     private static final long KNOWN = 1_000 * MILLISECOND;
     private static final long CURRENT = 2_000 * MILLISECOND;
     private static final double PART = 0.25;
+    private static final int EVERY = 4;
+    /** Caches of six that hearsay may take away. */
+    private static final int AWAY = 2;
+    /** Sends that slip through while a peer is suspected or its word is lost again and again. */
+    private static final int TOLERATED = 12;
+    private static final long WINDOW = 2_000 * MILLISECOND;
+    private static final int BUSY = 50;
 
     private final History history;
     private final List<String> names;
@@ -40,6 +47,7 @@
 
     List<Violation> run() {
         staleSends();
+        traffic();
         atTheEnd();
         aside();
         return found;
@@ -58,8 +66,10 @@
         Map<String, List<History.Told>> told = new HashMap<>();
         history.told().forEach(one -> told.computeIfAbsent(one.balancer(), name -> new ArrayList<>()).add(one));
         Map<Long, Map<String, String>> versions = history.versions();
+        Map<String, Integer> proved = new HashMap<>();
         for (History.Command command : history.commands()) {
             commands++;
+            int knowers = 0;
             long mine = rev(told, command.balancer(), command.at());
             int me = names.indexOf(command.balancer());
             for (String other : names) {
@@ -71,11 +81,64 @@
                 long before = rev(told, other, command.at() - KNOWN);
                 long now = rev(told, other, command.at());
                 if (before > mine && !usable(versions, before, command.cache()) && !usable(versions, now, command.cache())) {
-                    stale++;
-                    break;
+                    knowers++;
                 }
             }
+            stale += knowers > 0 ? 1 : 0;
+            long newest = names.stream().mapToLong(name -> rev(told, name, command.at())).max().orElse(1);
+            long out = versions.getOrDefault(newest, Map.of()).values().stream().filter(state -> !state.startsWith("Ready")).count();
+            // Two that could be heard knew it, no more caches are away than may be avoided, and it had time to hear them.
+            if (knowers >= 2 && out <= AWAY && ran(me, command.at() - 2 * KNOWN, command.at())) {
+                proved.merge(command.balancer(), 1, Integer::sum);
+            }
         }
+        proved.forEach((name, sends) -> {
+            if (sends > TOLERATED) {
+                found.add(new Violation("hearsay", name + " sent " + sends + " commands to caches that two others, which it"
+                        + " could hear, had known as draining for a second and more"));
+            }
+        });
+    }
+
+    /**
+     * No balancer leaves more caches alone than hearsay may take away, and at the end hardly any that its list names. A
+     * balancer sends so much that a cache of six that it uses is not passed over by chance for two seconds.
+     */
+    private void traffic() {
+        Map<Long, Map<String, String>> versions = history.versions();
+        Map<String, List<History.Told>> told = new HashMap<>();
+        history.told().forEach(one -> told.computeIfAbsent(one.balancer(), name -> new ArrayList<>()).add(one));
+        for (String name : names) {
+            int balancer = names.indexOf(name);
+            for (long from = WINDOW; from + WINDOW <= end; from += WINDOW / 2) {
+                long to = from + WINDOW;
+                long begin = from;
+                Map<String, Integer> sends = new HashMap<>();
+                history.commands().stream().filter(one -> one.balancer().equals(name) && one.at() >= begin && one.at() < to)
+                        .forEach(one -> sends.merge(one.cache(), 1, Integer::sum));
+                int all = sends.values().stream().mapToInt(Integer::intValue).sum();
+                if (all < BUSY || !ran(balancer, from - WINDOW, to) || cutFromCaches(balancer, from, to)) {
+                    continue;
+                }
+                Map<String, String> list = versions.getOrDefault(rev(told, name, from), Map.of());
+                Map<String, String> later = versions.getOrDefault(rev(told, name, to), Map.of());
+                long alone = list.keySet().stream().filter(cache -> list.get(cache).startsWith("Ready")
+                        && later.getOrDefault(cache, "").startsWith("Ready") && !sends.containsKey(cache)).count();
+                boolean last = to + WINDOW / 2 > end;
+                // One that has just come back is taken up slowly.
+                if (alone > (last ? 1 : AWAY)) {
+                    found.add(new Violation("traffic", String.format(Locale.ROOT,
+                            "%s sent nothing to %d caches that its list names as ready, from %.1f to %.1f s, and %d commands to"
+                            + " others", name, alone, from / 1e9, to / 1e9, all)));
+                }
+            }
+        }
+    }
+
+    private boolean cutFromCaches(int balancer, long from, long to) {
+        return history.spans().stream().anyMatch(span -> span.from() <= to && span.to() >= from
+                && (span.happening().kind() == Happening.Kind.CACHE_RESTART
+                || span.happening().kind() == Happening.Kind.CACHE_CUT && span.happening().who().contains(balancer)));
     }
 
     private static boolean usable(Map<Long, Map<String, String>> versions, long rev, String cache) {
@@ -134,6 +197,9 @@
         int out = 0;
         for (long[] one : asides) {
             out += one[2];
+            if (one[2] > 0 && one[1] % EVERY != EVERY - 1) {
+                found.add(new Violation("aside", names.get((int) one[1]) + " stepped aside and has no place to"));
+            }
             mostAside = Math.max(mostAside, out);
             if (out > most) {
                 found.add(new Violation("aside", out + " balancers are aside at " + one[0] / 1e9 + " s, of " + names.size()));
