Read the configuration again where others act on a later one, and let operators keep one in

Need: a missed SIGHUP leaves a balancer on old settings for ever; operators must be able to overrule a balancer that steps aside. Change: two others on a later number make it read its file a second later and each 10 s (a change counts once two looks agree); POST /ops/stragglers/keep-in and let-go; campaigns give one balancer a configuration without a signal.

--- a/cli/src/main/java/frostrelay/start/Defect.java
+++ b/cli/src/main/java/frostrelay/start/Defect.java
@@ -211,6 +211,11 @@
             inner.ask();
         }
 
+        @Override
+        public void reread() {
+            inner.reread();
+        }
+
         @Override
         public void avoid(Set<Long> caches) {
             inner.avoid(caches);
--- a/node/src/main/java/frostrelay/console/Calls.java
+++ b/node/src/main/java/frostrelay/console/Calls.java
@@ -33,7 +33,7 @@
         String path = new QueryStringDecoder(request.uri()).rawPath();
         HttpMethod method = switch (path) {
             case "/ops/readiness", "/ops/audit", "/ops/audit/record" -> HttpMethod.GET;
-            case "/ops/drain/start", "/ops/drain/stop", "/ops/template-caches/down", "/ops/template-caches/up" ->
+            case "/ops/drain/start", "/ops/drain/stop", "/ops/stragglers/keep-in", "/ops/stragglers/let-go", "/ops/template-caches/down", "/ops/template-caches/up" ->
                     HttpMethod.POST;
             default -> null;
         };
@@ -49,6 +49,9 @@
             case "/ops/audit" -> done(whole(operations.audit(), HttpHeaderValues.APPLICATION_JSON));
             case "/ops/audit/record" -> done(whole(operations.auditRecord(),
                     HttpHeaderValues.APPLICATION_OCTET_STREAM));
+            case "/ops/stragglers/keep-in", "/ops/stragglers/let-go" -> done(operations.keepIn(path.endsWith("/keep-in"))
+                    ? Answer.of(HttpResponseStatus.OK, path.endsWith("/keep-in") ? "kept in" : "let go")
+                    : Answer.of(HttpResponseStatus.NOT_FOUND, "this balancer never steps aside"));
             case "/ops/drain/start" -> {
                 operations.startDrain();
                 yield done(Answer.of(HttpResponseStatus.OK, "draining"));
--- a/node/src/main/java/frostrelay/console/Operations.java
+++ b/node/src/main/java/frostrelay/console/Operations.java
@@ -13,6 +13,9 @@
     /** Its record so far, in the form of the audit's files; null where it keeps none. */
     byte[] auditRecord();
 
+    /** Keeps this balancer in however far it lags behind the others, or no longer; false where it never steps aside. */
+    boolean keepIn(boolean on);
+
     /** Sends clients away until {@link #stopDrain}. */
     void startDrain();
 
--- a/node/src/main/java/frostrelay/node/Fleet.java
+++ b/node/src/main/java/frostrelay/node/Fleet.java
@@ -44,6 +44,9 @@
         /** Discovery is asked anew. */
         void refresh();
 
+        /** The configuration's file is read again. */
+        void reread();
+
         /** Exactly these caches are avoided on others' word. */
         void avoid(Set<Long> caches);
 
@@ -89,6 +92,11 @@
         return null;
     }
 
+    /** Operators want it kept in however far it lags behind, or no longer; false where it never steps aside. */
+    boolean keepIn(boolean on) {
+        return false;
+    }
+
     /** The process ends in order. */
     void close() {
     }
@@ -250,6 +258,11 @@
             lead.refresh();
         }
 
+        @Override
+        public void reread() {
+            lead.reread();
+        }
+
         @Override
         public void avoid(Set<Long> caches) {
             Log.write(Event.AVOIDS, caches.size(), audit.stamp().listRev(), stragglers.newest());
@@ -312,6 +325,15 @@
             }
         }
 
+        @Override
+        boolean keepIn(boolean on) {
+            if (stragglers != null) {
+                stragglers.keepIn(Clock.now(), on);
+                schedule();
+            }
+            return stragglers != null;
+        }
+
         @Override
         byte[] record() {
             return options.audit() ? ring.record() : null;
--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -51,6 +51,8 @@
     private final Balancer balancer;
     private final ClientServer server;
     private final Fleet fleet;
+    /** Reads the configuration's file again, elsewhere than on this loop. */
+    private Runnable reread = () -> { };
     /** It drains because it lags behind. */
     private boolean aside;
     private Phase phase = Phase.STARTING;
@@ -79,6 +81,11 @@
                 balancer.refresh();
             }
 
+            @Override
+            public void reread() {
+                reread.run();
+            }
+
             @Override
             public void avoid(Set<Long> caches) {
                 balancer.onAvoid(caches);
@@ -226,6 +233,16 @@
         }
     }
 
+    /** What is to be done where others act on a later configuration; must not wait. */
+    void onReread(Runnable action) {
+        reread = action;
+    }
+
+    @Override
+    public boolean keepIn(boolean on) {
+        return fleet.keepIn(on);
+    }
+
     /** A replaced configuration that is none at all. */
     void refuse(String reason) {
         fleet.witness().onRefusedConfig(reason);
--- a/node/src/main/java/frostrelay/node/Program.java
+++ b/node/src/main/java/frostrelay/node/Program.java
@@ -18,6 +18,8 @@
 public final class Program {
     /** Where the signal for a replaced configuration is ignored, the file is looked at so often. */
     private static final long LOOK = Clock.SECOND;
+    /** Nobody takes longer than this between two pieces of a file that he writes. */
+    private static final long BETWEEN_LOOKS = 300 * Clock.MILLISECOND;
 
     /** Where operators' own settings come from; read at the start and at each reload. */
     public interface Own {
@@ -60,6 +62,11 @@
             Program program = new Program(file, own, node, loop, folder);
             // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
             Runtime.getRuntime().addShutdownHook(new Thread(program::stop, "stop"));
+            if (options.fleet().stragglers()) {
+                ScheduledExecutorService reader = Executors.newSingleThreadScheduledExecutor(
+                        new DefaultThreadFactory("reread", true));
+                loop.submit(() -> node.onReread(() -> program.reread(reader))).get();
+            }
             loop.submit(node::start).get().sync();
             hangup.serve(program::reload);
             program.watch(hangup.isIgnored(), options.look());
@@ -93,6 +100,16 @@
         }
     }
 
+    /** Takes what the file holds where that is something else: a change counts once two looks have found the file the same. */
+    private void reread(ScheduledExecutorService reader) {
+        reader.execute(file::changed);
+        reader.schedule(() -> {
+            if (file.changed()) {
+                reload();
+            }
+        }, BETWEEN_LOOKS, TimeUnit.NANOSECONDS);
+    }
+
     /** Reads on the caller's thread. One at a time, so that what was read last is taken last. */
     private synchronized void reload() {
         try {
--- a/node/src/test/java/frostrelay/console/ConsoleServerTest.java
+++ b/node/src/test/java/frostrelay/console/ConsoleServerTest.java
@@ -46,6 +46,11 @@
             return null;
         }
 
+        @Override
+        public boolean keepIn(boolean on) {
+            return false;
+        }
+
         @Override
         public void startDrain() {
             calls.add("start");
--- a/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
@@ -207,7 +207,7 @@
             running[i] = fleet.balancers().get(i).process();
             configs[i] = fleet.balancers().get(i).config();
             history.process(i, History.What.WALL, 0);
-            history.configured(i, 0, digest(configs[i]));
+            history.configured(i, 0, digest(configs[i]), true);
             history.process(i, History.What.STARTED, 0);
         }
         fleet.startBalancers();
@@ -455,7 +455,7 @@
                 later(one, from, () -> hold(one, false));
             }
             case LOOK -> look();
-            case CONFIG, CONFIG_OTHER, CONFIG_BAD -> configure(one);
+            case CONFIG, CONFIG_OTHER, CONFIG_QUIET, CONFIG_BAD -> configure(one);
             case WALL_CLOCK -> {
                 for (int i : one.who()) {
                     Files.writeString(folder.resolve(names.get(i)).resolve("wall"), Long.toString((long) one.amount()));
@@ -486,7 +486,7 @@
         for (int i : one.who()) {
             if (one.kind() == Happening.Kind.CONFIG_BAD) {
                 running[i].configure(configs[i].substring(0, configs[i].length() / 2));
-                history.configured(i, -1, 0);
+                history.configured(i, -1, 0, true);
                 hangUp(i);
                 running[i].configure(configs[i]);
                 continue;
@@ -502,10 +502,12 @@
             settings.put("ceilings", ceilings);
             config.put("settings", settings);
             configs[i] = JSON.std.asString(config);
-            history.configured(i, number, digest(configs[i]));
+            history.configured(i, number, digest(configs[i]), one.kind() != Happening.Kind.CONFIG_QUIET);
             running[i].configure(configs[i]);
-            changes.incrementAndGet(i);
-            hangUp(i);
+            if (one.kind() != Happening.Kind.CONFIG_QUIET) {
+                changes.incrementAndGet(i);
+                hangUp(i);
+            }
         }
     }
 
--- a/rig/src/main/java/frostrelay/rig/campaign/Happening.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/Happening.java
@@ -32,6 +32,7 @@
         DISK("The audit's folder of who cannot be written: a file stands in its place."),
         CONFIG("Who get configuration number amount and are told so."),
         CONFIG_OTHER("Who get other content under number amount, and are told so."),
+        CONFIG_QUIET("Who get configuration number amount and are not told."),
         CONFIG_BAD("Who get half of a configuration and are told so."),
         DRAIN("Cache whom drains; it is back when it is over."),
         HOLD("Operators hold cache whom at balancers who."),
--- a/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
@@ -60,6 +60,17 @@
             all.add(new Happening(at, Happening.Kind.DRAIN, List.of(), List.of(i % CACHES), 0,
                     Math.min(FIRST + span - at, span / 6 + random.nextLong(span / 6))));
         }
+        // A configuration of which one is not told.
+        List<Integer> missed = some(random, processes, 1);
+        long given = FIRST + random.nextLong(span / 3);
+        List<Integer> told = new ArrayList<>();
+        for (int i = 0; i < processes; i++) {
+            if (!missed.contains(i)) {
+                told.add(i);
+            }
+        }
+        all.add(new Happening(given, Happening.Kind.CONFIG, List.copyOf(told), List.of(), 1, 0));
+        all.add(new Happening(given, Happening.Kind.CONFIG_QUIET, missed, List.of(), 1, 0));
         Happening.Kind[] late = {Happening.Kind.DISCOVERY_CUT, Happening.Kind.DISCOVERY_LATE, Happening.Kind.DISCOVERY_OLD};
         for (int i = 0; i < 3; i++) {
             long at = FIRST / 2 + random.nextLong(span / 2);
@@ -113,8 +124,8 @@
             case WALL_CLOCK -> all.add(new Happening(at, kind, one, List.of(),
                     (random.nextBoolean() ? -1 : 1) * (1_000 + random.nextInt(30_000)), 0));
             case DISK -> all.add(new Happening(at, kind, one, List.of(), 0, length));
-            case CONFIG, CONFIG_OTHER -> {
-                // There are some always.
+            case CONFIG, CONFIG_OTHER, CONFIG_QUIET -> {
+                // There are some always; what nobody is told of is for stragglers.
             }
             case CONFIG_BAD -> all.add(new Happening(at, kind, part, List.of(), 0, 0));
             case LOOK -> all.add(new Happening(at, kind, List.of(), List.of(), 0, 0));
--- a/rig/src/main/java/frostrelay/rig/campaign/StragglerCheck.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/StragglerCheck.java
@@ -49,6 +49,7 @@
         staleSends();
         traffic();
         atTheEnd();
+        quiet();
         aside();
         return found;
     }
@@ -192,6 +193,22 @@
         }
     }
 
+    /** Who was given a configuration and no signal has taken it, once others acted on it for a while. */
+    private void quiet() {
+        for (History.Configured one : history.configured()) {
+            if (one.told() || !ran(one.balancer(), end - CURRENT, end) || one.at() > end - 3 * CURRENT) {
+                continue;
+            }
+            String name = names.get(one.balancer());
+            boolean taken = records.getOrDefault(name, List.of()).stream().flatMap(life -> life.acts.stream())
+                    .anyMatch(acts -> acts.confNumber() == one.number() && acts.confDigest() == one.digest());
+            if (!taken) {
+                found.add(new Violation("current", name + " never took configuration " + one.number()
+                        + ", which lay in its place and which others acted on"));
+            }
+        }
+    }
+
     private void aside() {
         int most = (int) Math.ceil(names.size() * PART);
         int out = 0;
--- a/stragglers/src/main/java/frostrelay/stragglers/StragglerSettings.java
+++ b/stragglers/src/main/java/frostrelay/stragglers/StragglerSettings.java
@@ -5,7 +5,7 @@
  *
  * @param grace    a newer list that others act on is waited for so long: discovery tells it to all within this as a rule
  * @param askLeast from one call of discovery to the next, at first; doubled each time that it brought nothing
- * @param askMost  the most of that
+ * @param askMost  the most of that, and from one reading of the configuration's file to the next
  * @param spread   calls of several that are behind are spread over this for each of them
  * @param hearsay  a cache is avoided on others' word for so long at most, and on one's alone for no longer than
  * @param alone    this, once in that time
--- a/stragglers/src/main/java/frostrelay/stragglers/Stragglers.java
+++ b/stragglers/src/main/java/frostrelay/stragglers/Stragglers.java
@@ -23,6 +23,9 @@
         /** Discovery is to be asked for the whole list now. */
         void ask();
 
+        /** The configuration's file is read again now: a signal may have been missed. */
+        void reread();
+
         /** Exactly these caches, by their numbers, are avoided on hearsay from now on. */
         void avoid(Set<Long> caches);
 
@@ -79,6 +82,7 @@
     private long behindSince = NEVER;
     private long askAt = NEVER;
     private long askEvery;
+    private long rereadAt = NEVER;
     private boolean aside;
     private long asks;
     private boolean keptIn;
@@ -150,7 +154,7 @@
 
     /** When {@link #onWake} is to be called next. */
     public long next() {
-        long next = askAt;
+        long next = Math.min(askAt, rereadAt);
         for (Hearsay one : hearsay.values()) {
             next = Math.min(next, one.since + (one.spent ? settings.hearsay() : settings.alone()));
         }
@@ -163,6 +167,10 @@
     /** To be called at {@link #next}, or a little later. */
     public void onWake(long now) {
         judge(now);
+        if (now >= rereadAt) {
+            rereadAt = now + settings.askMost();
+            actions.reread();
+        }
         if (now >= askAt) {
             asks++;
             // Until it brings something, ever more seldom: a fleet that is told nothing does not mob discovery.
@@ -187,6 +195,7 @@
         hearsay.keySet().removeIf(cache -> !ready.contains(cache));
         hearsay.values().forEach(one -> one.spent |= now - one.since >= settings.alone());
         stand(now);
+        config(now);
         avoid();
         leave(now);
     }
@@ -239,6 +248,22 @@
         }
     }
 
+    /** Others that prove one act on a later configuration: the file may hold it, unread. */
+    private void config(long now) {
+        List<Stamp> newer = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            if (i != me && states[i] == State.ALIVE && stamps[i] != null && Order.config(own, stamps[i]) == Order.NEWER) {
+                newer.add(stamps[i]);
+            }
+        }
+        if (deaf || newer.size() < needed()) {
+            rereadAt = NEVER;
+        } else if (rereadAt == NEVER) {
+            // The signal is on its way as a rule; reading a file costs nobody else anything.
+            rereadAt = now + settings.askLeast();
+        }
+    }
+
     /** How many are behind as far as is known, this one included: so many may be about to ask. */
     private int behind() {
         int behind = 1;
--- a/stragglers/src/test/java/frostrelay/stragglers/StragglersTest.java
+++ b/stragglers/src/test/java/frostrelay/stragglers/StragglersTest.java
@@ -25,6 +25,7 @@
     private Set<Long> avoided = Set.of();
     private boolean aside;
     private int asked;
+    private int reread;
     private final List<String> told = new ArrayList<>();
 
     @Override
@@ -32,6 +33,11 @@
         asked++;
     }
 
+    @Override
+    public void reread() {
+        reread++;
+    }
+
     @Override
     public void avoid(Set<Long> caches) {
         avoided = caches;
@@ -95,6 +101,36 @@
         assertFalse(aside, "it comes back by itself");
     }
 
+    @Test
+    void aLaterConfigurationOfTwoMakesItReadItsFileNowAndThen() {
+        Stragglers one = of(0, 5);
+        Stamp later = new Stamp(1, 2, 8, 5, 5 * 31, 0, 0);
+        one.onPeer(SECOND, 1, State.ALIVE, later);
+        one.onPeer(SECOND, 2, State.ALIVE, list(5));
+        one.onPeer(SECOND, 3, State.ALIVE, list(5));
+        until(one, 5 * SECOND);
+        assertEquals(0, reread, "one alone proves nothing among three");
+        one.onPeer(5 * SECOND, 2, State.ALIVE, later);
+        until(one, 27 * SECOND);
+        assertEquals(3, reread);
+        one.onOwn(28 * SECOND, later, CACHES);
+        until(one, 60 * SECOND);
+        assertEquals(3, reread);
+    }
+
+    @Test
+    void operatorsCanKeepItIn() {
+        Stragglers one = of(3, 5);
+        for (int peer : new int[] {0, 1, 2}) {
+            one.onPeer(SECOND, peer, State.ALIVE, list(9));
+        }
+        until(one, 20 * SECOND);
+        assertTrue(aside);
+        one.keepIn(21 * SECOND, true);
+        assertFalse(aside);
+        assertEquals(Stragglers.Standing.STRAGGLER, one.standing(), "it is one all the same");
+    }
+
     @Test
     void whoHearsNothingIsNeitherCurrentNorBehindAndStays() {
         Stragglers one = of(3, 5);
