Spread the calls of many that are behind like their watches, and emulate a list told late

Need: a third of a tier that is told a list late must not mob discovery. Cause: calls were spread by 50 ms for each that is behind, 17 a second at a hundred balancers where all watches make 5.

--- a/adapter/src/main/java/frostrelay/adapter/PeerTalk.java
+++ b/adapter/src/main/java/frostrelay/adapter/PeerTalk.java
@@ -5,7 +5,6 @@
 import frostrelay.peers.PeerSettings;
 import frostrelay.peers.Peers;
 import frostrelay.peers.Stamp;
-import frostrelay.peers.State;
 import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32C;
 
@@ -86,39 +85,4 @@
     public void send(int to, byte[] data, int length) {
         reply.tell(balancer, to, data, length);
     }
-
-    @Override
-    public void onState(long moment, int rank, long incarnation, State state, int by) {
-        // What is known is asked for.
-    }
-
-    @Override
-    public void onOwn(long moment, long incarnation) {
-        // Likewise.
-    }
-
-    @Override
-    public void onRow(long moment, int rank, long incarnation, int row, int ref, long age) {
-        // Likewise.
-    }
-
-    @Override
-    public void onContent(long moment, int ref, Stamp content) {
-        // Likewise.
-    }
-
-    @Override
-    public void onAway(long moment, int from, long rev, long cache) {
-        // What is known is asked for.
-    }
-
-    @Override
-    public void onBack(long moment, int from, long rev, long cache) {
-        // What is known is asked for.
-    }
-
-    @Override
-    public void onClock(long moment, int rank, long incarnation, long sent, long theirMs) {
-        // Likewise.
-    }
 }
--- a/audit/src/main/java/frostrelay/audit/AuditLog.java
+++ b/audit/src/main/java/frostrelay/audit/AuditLog.java
@@ -182,21 +182,6 @@
         recorder.append(new Entry.Heard(now - born, rank, incarnation, place, ref, age));
     }
 
-    @Override
-    public void onContent(long now, int ref, Stamp content) {
-        // Records of the balancers that act on it have it; a reference finds it there.
-    }
-
-    @Override
-    public void onAway(long now, int from, long rev, long cache) {
-        // Its own list is what a balancer acts on.
-    }
-
-    @Override
-    public void onBack(long now, int from, long rev, long cache) {
-        // Its own list is what a balancer acts on.
-    }
-
     @Override
     public void onClock(long now, int rank, long incarnation, long sent, long theirMs) {
         recorder.append(new Entry.Clock(now - born, rank, incarnation, sent - born, theirMs));
--- a/cli/src/main/java/frostrelay/cli/LabPeers.java
+++ b/cli/src/main/java/frostrelay/cli/LabPeers.java
@@ -48,6 +48,10 @@
     @Option(names = "--partition", paramLabel = "PART", defaultValue = "0", description = "Cut off for ten seconds.")
     private double partition;
 
+    @Option(names = "--late", paramLabel = "PART", defaultValue = "0", description =
+            "With --together: whose discovery tells them 30 s late; how they find out and what they ask.")
+    private double late;
+
     @Option(names = "--ceiling", paramLabel = "BYTES", defaultValue = "2048", description = "In any second (${DEFAULT-VALUE}).")
     private int ceiling;
 
@@ -61,7 +65,7 @@
             for (double loss : losses) {
                 for (int seed = 1; seed <= seeds; seed++) {
                     plans.add(new SimPeers.Plan(size, loss, 2_100_000L, 30_000_000L, ceiling, seconds, changes, together,
-                            Math.min(killed, size / 2), partition, seed));
+                            Math.min(killed, size / 2), partition, late, seed));
                 }
             }
         }
--- a/emulator/src/main/java/frostrelay/emulator/SimPeers.java
+++ b/emulator/src/main/java/frostrelay/emulator/SimPeers.java
@@ -1,15 +1,19 @@
 package frostrelay.emulator;
 
 import frostrelay.peers.Incarnation;
+import frostrelay.peers.Known;
 import frostrelay.peers.PeerSettings;
 import frostrelay.peers.Peers;
 import frostrelay.peers.Stamp;
 import frostrelay.peers.State;
+import frostrelay.stragglers.StragglerSettings;
+import frostrelay.stragglers.Stragglers;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -20,6 +24,8 @@
     private static final long MILLISECOND = 1_000_000L;
     private static final long SECOND = 1_000_000_000L;
     private static final long WALL_MS = 1_790_000_000_000L;
+    /** Discovery is down for some of them for so long. */
+    public static final long LATE = 30_000_000_000L;
 
     /**
      * What is played.
@@ -32,10 +38,11 @@
      * @param changes     balancers that change what they act on, one every four seconds from {@link #settled} on
      * @param together    whether, besides, all of them change within 300 ms once, in the middle
      * @param killed      balancers that die at {@link #settled}
+     * @param late        part of the balancers whose discovery tells them of the change together only {@link #LATE} later
      * @param partition   part of the balancers that is cut from the others for ten seconds from the middle on
      */
     public record Plan(int balancers, double loss, long delayLeast, long delayMost, int ceiling, int seconds, int changes,
-                       boolean together, int killed, double partition, long seed) {
+                       boolean together, int killed, double partition, double late, long seed) {
         /** Seconds from the start until everybody has heard of everybody: the flood of a start is not measured with the rest. */
         public int settled() {
             return 15 + balancers / 5;
@@ -48,7 +55,7 @@
         /** The site's own ways: 2.1 to 30 ms. */
         public static Plan of(int balancers, double loss, int seconds, int changes, long seed) {
             return new Plan(balancers, loss, 2_100_000L, 30 * MILLISECOND, PeerSettings.STANDARD.ceiling(), seconds, changes,
-                    false, 0, 0, seed);
+                    false, 0, 0, 0, seed);
         }
     }
 
@@ -68,6 +75,13 @@
     private long quietBytes;
     private long quietDatagrams;
     private long busiest;
+    private final List<Long> knewBehind = new ArrayList<>();
+    private int asked;
+    private int askedInSecond;
+    private int mostAsked;
+    private long askSecond;
+    private int aside;
+    private int mostAside;
     private boolean cut;
     private long cutEnds;
     private long togetherAt = Long.MAX_VALUE;
@@ -101,7 +115,9 @@
             togetherAt = plan.middle() * SECOND;
             for (int i = 0; i < nodes.length; i++) {
                 int place = i;
-                timeline.at(togetherAt + events.nextLong(300 * MILLISECOND), now -> nodes[place].acts(now, 1_000_000));
+                boolean late = i < plan.late * nodes.length;
+                timeline.at(togetherAt + events.nextLong(300 * MILLISECOND) + (late ? LATE : 0), now -> nodes[place].acts(now,
+                        1_000_000));
             }
         }
         for (int i = 0; i < plan.killed; i++) {
@@ -136,6 +152,13 @@
         if (plan.killed > 0) {
             put(all, "detected", detected);
         }
+        if (plan.late > 0) {
+            put(all, "knewBehind", knewBehind);
+            all.put("askedBehind", asked);
+            all.put("mostAskedInASecond", mostAsked);
+            all.put("calmCallsASecond", plan.balancers / 20.0);
+            all.put("mostAside", mostAside);
+        }
         all.put("falseSuspicionsAnHour", episodes / hours);
         all.put("falseSuspicionsAnHourEach", episodes / hours / plan.balancers);
         all.put("falselyGone", falselyGone);
@@ -192,7 +215,7 @@
     private record Waited(long since, int sequence, boolean[] knows) {
     }
 
-    private final class Node implements Peers.Actions, Peers.Listener {
+    private final class Node implements Peers.Actions, Peers.Listener, Stragglers.Actions {
         private final int place;
         private final Peers peers;
         private final Map<Integer, Waited> waiting = new LinkedHashMap<>();
@@ -202,7 +225,10 @@
         private boolean dead;
         private long diedAt;
         private boolean told;
+        private final Stragglers stragglers;
+        private boolean knew;
         private long wakeAt = Long.MAX_VALUE;
+        private long lagWakeAt = Long.MAX_VALUE;
         private long mark = Timeline.NO_MARK;
         private long second;
         private long sentInIt;
@@ -212,12 +238,75 @@
             newer = plan.together ? new boolean[plan.balancers] : new boolean[0];
             peers = new Peers(PeerSettings.STANDARD.under(plan.ceiling), place, plan.balancers, now,
                     Incarnation.of(WALL_MS + now / MILLISECOND), plan.seed * 31 + place, stamp(1), 0, this, this);
+            stragglers = plan.late > 0 ? new Stragglers(StragglerSettings.STANDARD, place, plan.balancers, plan.seed + place,
+                    stamp(1), this) : null;
+        }
+
+        /** What is known of another may have changed. */
+        private void consider(long now, int rank) {
+            if (stragglers == null || peers == null || rank == place) {
+                return;
+            }
+            Known known = peers.known(now, rank);
+            stragglers.onPeer(now, rank, known.state(), known.stamp());
+            lagged(now);
+        }
+
+        private void lagged(long now) {
+            if (!knew && now >= togetherAt && stragglers.standing() != Stragglers.Standing.CURRENT && number != 1_000_000
+                    && stragglers.newest() == 1_000_000) {
+                knew = true;
+                knewBehind.add(now - togetherAt);
+            }
+            long next = Math.max(now, stragglers.next());
+            if (next < lagWakeAt) {
+                lagWakeAt = next;
+                timeline.at(next, then -> {
+                    lagWakeAt = Long.MAX_VALUE;
+                    stragglers.onWake(then);
+                    lagged(then);
+                });
+            }
+        }
+
+        @Override
+        public void ask() {
+            asked++;
+            long second = timeline.now() / SECOND;
+            askedInSecond = second == askSecond ? askedInSecond + 1 : 1;
+            askSecond = second;
+            mostAsked = Math.max(mostAsked, askedInSecond);
+        }
+
+        @Override
+        public void reread() {
+            // All have one configuration.
+        }
+
+        @Override
+        public void avoid(Set<Long> caches) {
+            // No cache is in this model.
+        }
+
+        @Override
+        public void aside(boolean on, String why) {
+            aside += on ? 1 : -1;
+            mostAside = Math.max(mostAside, aside);
+        }
+
+        @Override
+        public void tell(String what) {
+            // Nobody reads along.
         }
 
         void acts(long now, long fresh) {
             number = fresh;
             peers.onStamp(now, stamp(fresh), ++sequence);
             schedule(now);
+            if (stragglers != null) {
+                stragglers.onOwn(now, stamp(fresh), Set.of());
+                lagged(now);
+            }
         }
 
         void schedule(long now) {
@@ -267,6 +356,7 @@
 
         @Override
         public void onState(long now, int rank, long incarnation, State state, int by) {
+            consider(now, rank);
             Node other = nodes[rank];
             boolean lost = other == null || other.dead || cut || now < cutEnds + 5 * SECOND && plan.partition > 0
                     && now > cutEnds - 10 * SECOND;
@@ -283,13 +373,9 @@
             }
         }
 
-        @Override
-        public void onOwn(long now, long incarnation) {
-            // Objections are counted as suspicions where they arise.
-        }
-
         @Override
         public void onRow(long now, int rank, long incarnation, int row, int ref, long age) {
+            consider(now, rank);
             Waited waited = waiting.get(rank);
             if (waited != null && row >= waited.sequence) {
                 waiting.remove(rank);
@@ -300,26 +386,6 @@
                 knownTogether.add(now - togetherAt);
             }
         }
-
-        @Override
-        public void onContent(long now, int ref, Stamp stamp) {
-            // Rows say who acts on it.
-        }
-
-        @Override
-        public void onAway(long now, int from, long rev, long cache) {
-            // Nobody lists caches here.
-        }
-
-        @Override
-        public void onBack(long now, int from, long rev, long cache) {
-            // Nobody lists caches here.
-        }
-
-        @Override
-        public void onClock(long now, int rank, long incarnation, long sent, long theirMs) {
-            // Nobody puts moments in order here.
-        }
     }
 
     private static final int TOGETHER = stamp(1_000_000).ref();
--- a/peers/src/main/java/frostrelay/peers/Peers.java
+++ b/peers/src/main/java/frostrelay/peers/Peers.java
@@ -22,28 +22,35 @@
         void send(int to, byte[] data, int length);
     }
 
-    /** Hears what changed in the knowledge of others. */
+    /** Hears what changed in the knowledge of others; each method may be left out. */
     public interface Listener {
         /** {@code by}: who said so, by its number; itself for what it said itself. */
-        void onState(long now, int rank, long incarnation, State state, int by);
+        default void onState(long now, int rank, long incarnation, State state, int by) {
+        }
 
         /** This balancer goes by another incarnation: it objected, or overtook an earlier life of its name. */
-        void onOwn(long now, long incarnation);
+        default void onOwn(long now, long incarnation) {
+        }
 
         /** A balancer acts on something else. {@code ref}: of the stamp, whose content may come later. */
-        void onRow(long now, int rank, long incarnation, int sequence, int ref, long age);
+        default void onRow(long now, int rank, long incarnation, int sequence, int ref, long age) {
+        }
 
         /** The content of a stamp is known now. */
-        void onContent(long now, int ref, Stamp stamp);
+        default void onContent(long now, int ref, Stamp stamp) {
+        }
 
         /** A peer says, by its own list of that version, that a cache is not to be used. */
-        void onAway(long now, int from, long rev, long cache);
+        default void onAway(long now, int from, long rev, long cache) {
+        }
 
         /** Likewise that it may be used again, having been ruled out lately. */
-        void onBack(long now, int from, long rev, long cache);
+        default void onBack(long now, int from, long rev, long cache) {
+        }
 
         /** A peer answered a probe: its life was {@code theirMs} old at some moment between {@code sent} and now. */
-        void onClock(long now, int rank, long incarnation, long sent, long theirMs);
+        default void onClock(long now, int rank, long incarnation, long sent, long theirMs) {
+        }
     }
 
     /** Counts since the start, for whoever prints them. */
--- a/peers/src/test/java/frostrelay/peers/Net.java
+++ b/peers/src/test/java/frostrelay/peers/Net.java
@@ -76,26 +76,6 @@
             states.add("me " + incarnation);
         }
 
-        @Override
-        public void onRow(long moment, int other, long incarnation, int sequence, int ref, long age) {
-            // What is known is asked for.
-        }
-
-        @Override
-        public void onContent(long moment, int ref, Stamp stamp) {
-            // Likewise.
-        }
-
-        @Override
-        public void onAway(long moment, int from, long rev, long cache) {
-            // Nobody lists caches here.
-        }
-
-        @Override
-        public void onBack(long moment, int from, long rev, long cache) {
-            // Nobody lists caches here.
-        }
-
         @Override
         public void onClock(long moment, int other, long incarnation, long sent, long theirMs) {
             clocks++;
--- a/stragglers/src/main/java/frostrelay/stragglers/Stragglers.java
+++ b/stragglers/src/main/java/frostrelay/stragglers/Stragglers.java
@@ -174,7 +174,7 @@
         if (now >= askAt) {
             asks++;
             // Until it brings something, ever more seldom: a fleet that is told nothing does not mob discovery.
-            askEvery = Math.min(settings.askMost(), askEvery * 2);
+            askEvery = Math.min(Math.max(settings.askMost(), wave()), askEvery * 2);
             askAt = now + askEvery / 2 + random.nextLong(askEvery / 2 + 1);
             actions.ask();
         }
@@ -231,8 +231,8 @@
         } else if (newest > own.listRev()) {
             if (behindSince == NEVER) {
                 behindSince = now;
-                askEvery = settings.askLeast();
-                askAt = now + settings.grace() + random.nextLong(Math.max(1, behind() * settings.spread()));
+                askEvery = Math.max(settings.askLeast(), wave());
+                askAt = now + settings.grace() + random.nextLong(Math.max(1, wave()));
             }
             long lag = now - behindSince;
             standing = lag >= settings.bound() ? Standing.STRAGGLER : lag >= settings.grace() ? Standing.BEHIND
@@ -264,6 +264,11 @@
         }
     }
 
+    /** Over so long the calls of all that are behind are spread, so that they come as often as all watches do in calm. */
+    private long wave() {
+        return behind() * Math.min(settings.spread(), settings.watch() / count);
+    }
+
     /** How many are behind as far as is known, this one included: so many may be about to ask. */
     private int behind() {
         int behind = 1;
