Let the audit's checker know of holds before the first list, and starts that are still under way

Cause, from 200 drawn schedules of five processes: eight had violations, all of the rig's own making: a balancer that starts under holds acts on them before its first list (6), a fault's end that met a folder of a new life (1), a console asked while an upgrade was starting (1). Eight plays at once on eight cores overload the machine and show as late stamps.

--- a/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
@@ -333,7 +333,7 @@
                     history.look(at, i, JSON.std.mapFrom(answer.body()));
                 }
             } catch (IOException e) {
-                if (history.up(i)) {
+                if (history.up(i) && starting.get(i) == 0) {
                     violations.add(new Violation("play", names.get(i) + " runs and its console says nothing: " + e));
                 }
             }
@@ -502,7 +502,9 @@
             settings.put("ceilings", ceilings);
             config.put("settings", settings);
             configs[i] = JSON.std.asString(config);
-            history.configured(i, number, digest(configs[i]), one.kind() != Happening.Kind.CONFIG_QUIET);
+            // One that is starting reads it then, or is told once it serves.
+            history.configured(i, number, digest(configs[i]), one.kind() != Happening.Kind.CONFIG_QUIET
+                    && starting.get(i) == 0);
             running[i].configure(configs[i]);
             if (one.kind() != Happening.Kind.CONFIG_QUIET) {
                 changes.incrementAndGet(i);
@@ -562,7 +564,12 @@
                         Files.move(audit, aside);
                     }
                     Files.writeString(audit, "not a folder");
-                    later(one, from, () -> Files.deleteIfExists(audit));
+                    // Its temporary files may have been taken away meanwhile, and new ones have come.
+                    later(one, from, () -> {
+                        if (Files.isRegularFile(audit)) {
+                            Files.delete(audit);
+                        }
+                    });
                 }
                 default -> upgrade(one, i, process, from);
             }
@@ -605,6 +612,7 @@
         BalancerProcess fresh = new BalancerProcess(names.get(place), program(place, NEXT_BUILD), old.folder(), at.listen(),
                 configs[place]);
         int known = changes.get(place);
+        starting.set(place, 1);
         history.process(place, History.What.STARTED, offsets[place]);
         fresh.start();
         long limit = history.moment() + 10_000 * MILLISECOND;
@@ -612,6 +620,7 @@
             Thread.sleep(20);
         }
         running[place] = fresh;
+        starting.set(place, 0);
         if (changes.get(place) != known) {
             hangUp(place);
         }
