--- a/node/src/main/java/frostrelay/node/Fleet.java
+++ b/node/src/main/java/frostrelay/node/Fleet.java
@@ -18,6 +18,7 @@
 import frostrelay.stragglers.Stragglers;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.URISyntaxException;
@@ -38,6 +39,7 @@
     private static final Fleet ALONE = new Fleet();
     private static final long TICK = Clock.SECOND;
     private static final int MOST_PEERS = 4096;
+    private static final int PIECE = 16 * 1024;
 
     /** What the fleet may lead this balancer to. */
     interface Lead {
@@ -196,8 +198,17 @@
             CRC32C crc = new CRC32C();
             try {
                 Path source = Path.of(Fleet.class.getProtectionDomain().getCodeSource().getLocation().toURI());
-                crc.update(Files.isRegularFile(source) ? Files.readAllBytes(source)
-                        : source.toString().getBytes(StandardCharsets.UTF_8));
+                if (Files.isRegularFile(source)) {
+                    // Piece by piece: the whole of it would stay in the heap's memory for good.
+                    try (InputStream in = Files.newInputStream(source)) {
+                        byte[] piece = new byte[PIECE];
+                        for (int read = in.read(piece); read >= 0; read = in.read(piece)) {
+                            crc.update(piece, 0, read);
+                        }
+                    }
+                } else {
+                    crc.update(source.toString().getBytes(StandardCharsets.UTF_8));
+                }
             } catch (IOException | URISyntaxException | RuntimeException e) {
                 return 0;
             }
