--- a/peers/src/main/java/frostrelay/peers/Rumours.java
+++ b/peers/src/main/java/frostrelay/peers/Rumours.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 
 /**
  * News on its way round. Each item is sent so many times, the newest first: a change overtakes what is left of an older
@@ -14,6 +15,8 @@
  */
 final class Rumours {
     private static final int MOST = 512;
+    /** Rows of one stamp that a datagram has room for, and some more. */
+    private static final int TOLD = 24;
     private static final int TYPE_SHIFT = 40;
 
     /** One item. For stamps only {@code ref} counts, for caches that is the lower half
@@ -56,8 +59,8 @@
         }
     }
 
-    private static final Comparator<Item> HOTTEST = Comparator.comparing((Item item) -> item.greeting)
-            .thenComparing(item -> -item.left).thenComparing(item -> -item.order);
+    private static final Comparator<Item> HOTTEST = (a, b) -> a.greeting != b.greeting ? a.greeting ? 1 : -1
+            : a.left != b.left ? b.left - a.left : Long.compare(b.order, a.order);
 
     private final Map<Long, Item> items = new LinkedHashMap<>();
     private int claims;
@@ -76,7 +79,9 @@
         if (items.size() > MOST) {
             items.remove(items.values().stream().max(HOTTEST).orElseThrow().key());
         }
-        claims = (int) items.values().stream().filter(Rumours::isClaim).count();
+        if (claims > 0 || isClaim(item)) {
+            claims = (int) items.values().stream().filter(Rumours::isClaim).count();
+        }
     }
 
     private static boolean isClaim(Item item) {
@@ -96,9 +101,18 @@
         }
     }
 
-    /** All of them, those to be told first in front. To be told of sends by {@link #sent}. */
+    /** Those to be told first, as many as a datagram may hold, in their order. To be told of sends by {@link #sent}. */
     List<Item> hottest() {
-        List<Item> all = new ArrayList<>(items.values());
+        PriorityQueue<Item> best = new PriorityQueue<>(TOLD + 1, HOTTEST.reversed());
+        for (Item item : items.values()) {
+            if (best.size() < TOLD || HOTTEST.compare(item, best.peek()) < 0) {
+                best.add(item);
+                if (best.size() > TOLD) {
+                    best.poll();
+                }
+            }
+        }
+        List<Item> all = new ArrayList<>(best);
         all.sort(HOTTEST);
         return all;
     }
