Name what a small disk refused, and read what only the head of a part repeats

Change: happening 'disk-small' (the system's limit on files), schedule and test; Life and the checker's reader take names and later stamps from such heads.

--- a/audit/src/main/java/frostrelay/audit/fleet/Life.java
+++ b/audit/src/main/java/frostrelay/audit/fleet/Life.java
@@ -33,6 +33,9 @@
             for (int at = 0; at < all.size() && resumes < 0; at++) {
                 resumes = all.get(at) instanceof Entry.Resumes ? at : -1;
             }
+            if (i > 0) {
+                repeated(all.subList(0, resumes + 1));
+            }
             entries.addAll(i == 0 ? all : all.subList(resumes + 1, all.size()));
             torn += parts.get(i).unread();
         }
@@ -54,6 +57,19 @@
         beginningLost = !firstThere || entries.stream().anyMatch(Entry.Resumes.class::isInstance);
     }
 
+    /** Of what a part repeats, that counts which the parts before it do not have: it was lost on its way to them. */
+    private void repeated(List<Entry> head) {
+        int last = -1;
+        for (Entry entry : entries) {
+            last = entry instanceof Entry.Acts one ? one.sequence() : last;
+        }
+        for (Entry entry : head) {
+            if (entry instanceof Entry.Names || entry instanceof Entry.Acts one && one.sequence() > last) {
+                entries.add(entry);
+            }
+        }
+    }
+
     /**
      * {@code source}: where the parts came from, for messages; {@code firstThere}: the first of them is the life's first.
      * Null where not even the start could be read.
--- a/audit/src/test/java/frostrelay/audit/RecordTest.java
+++ b/audit/src/test/java/frostrelay/audit/RecordTest.java
@@ -183,6 +183,19 @@
                 && sent.id().equals("request-3999")));
     }
 
+    /** A name and a stamp that no part has but the head of the next one: they were lost on their way. */
+    @Test
+    void whatOnlyTheNextPartsHeadHasIsNotLost() {
+        List<Entry> first = some().subList(0, 4);
+        Record second = new Record(List.of(first.get(0), first.get(2), new Entry.Names(40, 1, "cache-2"),
+                new Entry.Acts(41, 1, Cause.DISCOVERY, 99, stamp(2)), new Entry.Resumes(45),
+                new Entry.Gap(60, 40, 2, "the disk refused it"), new Entry.Sent(61, 1, 1, 0, "x")), 0, 0);
+        Life life = Life.of("parts", List.of(new Record(first, 0, 0), second), true);
+        assertEquals("cache-2", life.cache(1));
+        assertEquals(2, life.acts().size());
+        assertEquals(1, life.gaps().size());
+    }
+
     /** A disk that refuses: said once, and when it takes again the gap comes first. */
     @Test
     void whatADiskRefusedIsNamedAsAGap() throws Exception {
--- a/cli/src/test/java/frostrelay/cli/CampaignTest.java
+++ b/cli/src/test/java/frostrelay/cli/CampaignTest.java
@@ -144,6 +144,23 @@
                 "consoles say so of the one that they could not hear");
     }
 
+    /** A disk that refuses what goes beyond its room: service goes on, and the records name what they lack. */
+    @Test
+    void whatASmallDiskRefusedIsNamed() throws Exception {
+        CampaignPlay.Outcome outcome = CampaignPlay.play(Matter.AUDIT, ScheduleFile.read(Path.of(
+                "../deploy/campaign/small-disk.toml")), folder, CampaignCommand.launch(), null);
+        assertEquals(List.of(), outcome.violations());
+        long asked = ((Number) outcome.figures().get("asked")).longValue();
+        assertTrue(((Number) outcome.figures().get("servedInTime")).longValue() * 10 > asked * 8, outcome.figures().toString());
+        List<Life> lives = Collected.lives(folder, new ArrayList<>());
+        assertEquals(List.of(), new Statement(lives).verify());
+        for (Life life : lives) {
+            // A life that was killed early may have stayed below its room.
+            assertTrue(life.name().equals("balancer-2") || life.name().equals("balancer-3") == life.gaps().isEmpty(),
+                    life.label());
+        }
+    }
+
     private static Map<?, ?> behind(Statement statement, String balancer) {
         for (Map<String, Object> version : statement.drift(frostrelay.audit.fleet.Kind.CONFIG)) {
             if (String.valueOf(version.get("version")).startsWith("7:")) {
--- a/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/CampaignPlay.java
@@ -157,7 +157,17 @@
         if (defect != null && !OFF.equals(defect) && place == names.size() - 1) {
             properties.add("-Dfrostrelay.campaign.defect=" + defect);
         }
-        return new Program(launch.command(properties));
+        List<String> command = launch.command(properties);
+        for (Happening one : schedule.happenings()) {
+            if (one.kind() == Happening.Kind.DISK_SMALL && one.who().contains(place)) {
+                // The system's own limit on files, in blocks of 512 bytes: a write beyond fails as on a full disk.
+                List<String> limited = new ArrayList<>(List.of("/bin/sh", "-c", "ulimit -f " + Math.round(one.amount() * 2)
+                        + " && exec \"$@\"", "sh"));
+                limited.addAll(command);
+                return new Program(limited);
+            }
+        }
+        return new Program(command);
     }
 
     private Outcome play() throws IOException, InterruptedException {
@@ -454,6 +464,9 @@
                 hold(one, true);
                 later(one, from, () -> hold(one, false));
             }
+            case DISK_SMALL -> {
+                // It is so from the start.
+            }
             case LOOK -> look();
             case CONFIG, CONFIG_OTHER, CONFIG_QUIET, CONFIG_BAD -> configure(one);
             case WALL_CLOCK -> {
--- a/rig/src/main/java/frostrelay/rig/campaign/Happening.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/Happening.java
@@ -30,6 +30,7 @@
         STARVE("Processes of who run for a part of the time only: amount of 1."),
         WALL_CLOCK("The wall clocks of who are off by amount milliseconds."),
         DISK("The audit's folder of who cannot be written: a file stands in its place."),
+        DISK_SMALL("No file of who can be longer than amount KiB, from its start on: what goes beyond is refused."),
         CONFIG("Who get configuration number amount and are told so."),
         CONFIG_OTHER("Who get other content under number amount, and are told so."),
         CONFIG_QUIET("Who get configuration number amount and are not told."),
--- a/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
+++ b/rig/src/main/java/frostrelay/rig/campaign/Schedule.java
@@ -124,8 +124,8 @@
             case WALL_CLOCK -> all.add(new Happening(at, kind, one, List.of(),
                     (random.nextBoolean() ? -1 : 1) * (1_000 + random.nextInt(30_000)), 0));
             case DISK -> all.add(new Happening(at, kind, one, List.of(), 0, length));
-            case CONFIG, CONFIG_OTHER, CONFIG_QUIET -> {
-                // There are some always; what nobody is told of is for stragglers.
+            case CONFIG, CONFIG_OTHER, CONFIG_QUIET, DISK_SMALL -> {
+                // There are some always; what nobody is told of is for stragglers, small disks for a schedule of their own.
             }
             case CONFIG_BAD -> all.add(new Happening(at, kind, part, List.of(), 0, 0));
             case LOOK -> all.add(new Happening(at, kind, List.of(), List.of(), 0, 0));
