--- a/cli/src/main/java/frostrelay/cli/CampaignCommand.java
+++ b/cli/src/main/java/frostrelay/cli/CampaignCommand.java
@@ -40,7 +40,8 @@
     @Mixin
     private Output output;
 
-    @Parameters(arity = "0..*", paramLabel = "FILE", description = "Schedules in TOML to play; without any they are drawn.")
+    @Parameters(arity = "0..*", paramLabel = "FILE", description =
+            "Schedules in TOML to play, or names of those in deploy/campaign/kept; without any they are drawn.")
     private List<Path> files = List.of();
 
     @Option(names = "--matter", paramLabel = "NAME", defaultValue = "audit", description = "What is checked (${DEFAULT-VALUE}).")
@@ -120,10 +121,17 @@
         }
     }
 
+    /** A file as it is named, or one that is kept in the checkout, by its name alone. */
+    private static Path found(Path file) {
+        Path kept = Path.of("deploy/campaign/kept").resolve(file + ".toml");
+        return Files.exists(file) || file.getNameCount() > 1 || !Files.exists(Checkout.root().resolve(kept)) ? file
+                : Checkout.root().resolve(kept);
+    }
+
     private List<Schedule> schedules() {
         List<Schedule> schedules = new ArrayList<>();
         if (!files.isEmpty()) {
-            files.forEach(file -> schedules.add(ScheduleFile.read(file)));
+            files.forEach(file -> schedules.add(ScheduleFile.read(found(file))));
             return schedules;
         }
         check(seeds.matches("\\d{1,9}(\\.\\.\\d{1,9})?"), "--seeds: found " + seeds + ", allowed: A..B");
