Remove three accessors that nobody calls

Peers.me, Statement.lives and Statement.clocks were left from a first form; a search over all modules finds no caller. Tests of peers, audit and stragglers pass.

--- a/audit/src/main/java/frostrelay/audit/fleet/Statement.java
+++ b/audit/src/main/java/frostrelay/audit/fleet/Statement.java
@@ -30,14 +30,6 @@
         this.clocks = new Clocks(this.lives);
     }
 
-    public List<Life> lives() {
-        return List.copyOf(lives);
-    }
-
-    public Clocks clocks() {
-        return clocks;
-    }
-
     private static List<Object> ms(Moment moment) {
         return List.of(Math.round(moment.earliest() / MILLISECOND), Math.round(moment.latest() / MILLISECOND));
     }
--- a/peers/src/main/java/frostrelay/peers/Peers.java
+++ b/peers/src/main/java/frostrelay/peers/Peers.java
@@ -959,11 +959,6 @@
         return members.count;
     }
 
-    /** This balancer's number. */
-    public int me() {
-        return me;
-    }
-
     /** Its incarnation now. */
     public long incarnation() {
         return members.incarnations[me];
