Open a silent watch of discovery anew within the bound on news, and retry in time

The logs have one 'silence' at 23 s: the watch waited 20 s, 2.5 s more passed before it counted as silent, and then the module paused up to 5 s before it asked again, while what a silent watch misses binds 2 s after its wait.

Checked: no other failure stood in these logs; watches that were reset came back in time; discovery answered the next call at once.

At fault: Discovery.WAIT_MS and SILENCE_MS, whose sum is the bound itself; fail("silence"), which had the module wait; Router.askLater, whose pause grew to four times half of the ask-within time, 20 s, where news binds 6 s after discovery had it whatever failed.

A silent one is opened anew 1 s behind its wait, without a pause. Pauses behind failed calls are spread over 250 ms an instance, 4 s at most, and no longer grow.

Tests: a stand-in that holds a watch; twelve failures in a row. Both were seen failing without the change (no second call within 20 s; pauses of 84 ms and more than 4.3 s).

--- a/node/src/main/java/frostrelay/node/Discovery.java
+++ b/node/src/main/java/frostrelay/node/Discovery.java
@@ -2,6 +2,7 @@
 
 import frostrelay.log.Event;
 import frostrelay.log.Log;
+import frostrelay.policy.Api;
 import frostrelay.policy.Api.ListMode;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -35,10 +36,18 @@
         void onList(ListMode mode, long rev, List<Catalog.Member> members);
     }
 
-    /** How long a watch may wait for news; each call costs discovery work. */
-    private static final long WAIT_MS = 20_000;
-    /** Silence for so long past that wait is a failure; a call may stand in line for two seconds. */
-    private static final long SILENCE_MS = 2_500;
+    /**
+     * How long a watch may wait for news: what a silent one misses binds 6 s after it fell silent, or 2 s after its wait,
+     * so short waits are better; but each call takes room at discovery, which is one for all. Of all instances together
+     * at most two calls a second wait in vain, until {@link #MOST_WAIT_MS}. An agent that lists are pushed to is our own.
+     */
+    private static final long WAIT_PER_INSTANCE_MS = 500;
+    private static final long LEAST_WAIT_MS = 2_000;
+    private static final long MOST_WAIT_MS = 20_000;
+    /** No answer for so long past the wait is silence: half of the 2 s, so that one more call is answered within them. */
+    private static final long LATE_MS = 1_000;
+    /** A call may stand in line at discovery for 3 s before it is refused; given up sooner, it would lose its place. */
+    private static final long LINE_MS = 3_500;
     private static final int CONNECT_MS = 1_000;
     /** At most one call in this time, should answers come at once for ever; a watch allows 200 ms. */
     private static final long LEAST_MS = 100;
@@ -49,7 +58,8 @@
     private final EventLoop loop;
     private final Listener listener;
     private long rev;
-    /** Versions are one service's own: after a move the first call asks for the whole list. */
+    /** The next call asks for the whole list, at once: after a move, as versions are one service's own, and at first of an agent. */
+    private boolean whole;
     private boolean moved;
     /** The call that is out or about to begin; null while nobody watches. */
     private Call current;
@@ -60,6 +70,13 @@
         this.loop = loop;
         this.listener = listener;
         this.rev = config.known().rev();
+        this.whole = !site.get().settings.subscribe();
+    }
+
+    private long waitMs() {
+        Api.Settings settings = site.get().settings;
+        return settings.subscribe() ? Math.max(LEAST_WAIT_MS, Math.min(MOST_WAIT_MS, settings.instances() * WAIT_PER_INSTANCE_MS))
+                : LEAST_WAIT_MS;
     }
 
     /** Begins a watch from the last known version, unless one is on. */
@@ -91,6 +108,7 @@
         Log.write(Event.DISCOVERY_MOVES, address, fresh);
         address = fresh;
         moved = true;
+        whole = true;
         if (current != null) {
             current.drop();
         }
@@ -111,7 +129,8 @@
             }
             begun = Clock.now();
             // Before the connection: a refused one may fail within this very call.
-            silence = loop.schedule(() -> fail("silence"), WAIT_MS + SILENCE_MS, TimeUnit.MILLISECONDS);
+            long patience = whole ? LINE_MS : Math.max(LINE_MS, waitMs() + LATE_MS);
+            silence = loop.schedule(this::giveUp, patience, TimeUnit.MILLISECONDS);
             ChannelFuture up = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
@@ -134,7 +153,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/catalog/members" + (moved ? "" : "?since=" + rev + "&timeout_ms=" + WAIT_MS));
+                    "/catalog/members" + (whole ? "" : "?since=" + rev + "&timeout_ms=" + waitMs()));
             request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
                     .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ctx.writeAndFlush(request);
@@ -162,6 +181,7 @@
                 Log.write(Event.DISCOVERY_MOVED, address, catalog.rev(), rev);
             }
             moved = false;
+            whole = false;
             rev = catalog.rev();
             Call next = new Call();
             current = next;
@@ -195,6 +215,12 @@
             }
         }
 
+        /** Discovery may be well and only this call's connection dead: another one is opened at once, without a pause. */
+        private void giveUp() {
+            Log.write(Event.DISCOVERY_FAILED, "silence");
+            refresh();
+        }
+
         private void fail(String why) {
             if (over) {
                 return;
--- a/node/src/test/java/frostrelay/node/DiscoveryTest.java
+++ b/node/src/test/java/frostrelay/node/DiscoveryTest.java
@@ -200,6 +200,30 @@
         }
     }
 
+    /**
+     * What a silent watch misses binds 2 s after its wait, or 6 s after it fell silent: by then another call must have told.
+     * With a wait of 20 s, 2.5 s of silence and then a pause, drains were 23 s late.
+     */
+    @Test
+    void aWatchThatFallsSilentIsOpenedAnewInTimeAndIsNoFailure() throws Exception {
+        try (FakeHost discovery = discovery(); Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = discovery.endpoint();
+            rig.module = (settings, seed, actions) -> recording(actions);
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            // The stand-in holds this call: it says nothing for as long as it has no answer.
+            assertTrue(next(calls).startsWith("GET /catalog/members?since=7&timeout_ms="));
+            long begun = System.nanoTime();
+            assertTrue(next(calls).startsWith("GET /catalog/members?since=7&timeout_ms="));
+            long silentMs = (System.nanoTime() - begun) / 1_000_000;
+            assertTrue(silentMs < 4_500, "of the 6 s, some are the second call's: " + silentMs);
+            // Both calls take an answer: the first one's connection is closed, and nobody may hear of it.
+            answers.add(list(8, false));
+            answers.add(list(8, false));
+            assertEquals("DELTA 0", next(told), "a silent connection is no failure to wait after");
+        }
+    }
+
     private static void reload(Rig rig, Path config) throws Exception {
         rig.loop.submit(() -> rig.node.reload(new ConfigFile(config.toString()).load())).get();
     }
--- a/policy/src/main/java/frostrelay/policy/Router.java
+++ b/policy/src/main/java/frostrelay/policy/Router.java
@@ -11,8 +11,10 @@
     private static final long NEVER = Long.MAX_VALUE;
     private static final int TIMER_ALARM = 1;
     private static final int TIMER_LIST = 2;
-    /** Part of the ask-within time over which first subscriptions are spread, and of each back-off step. */
-    private static final double SUBSCRIBE_SPREAD = 0.5;
+    /** Instances call discovery so far apart, all within the longest: news binds 6 s after a failed call. */
+    private static final long TURN_NS = 250_000_000L;
+    private static final long LONGEST_NS = 4_000_000_000L;
+    private static final long PAUSE_NS = 200_000_000L;
     /** Part of the aim within which the origin answers while it has room. */
     private static final double QUICK = 0.5;
     /** A host less busy than this that turns work away does so for another cause than load. */
@@ -95,7 +97,6 @@
             Comparator.comparingLong(Alarm::at).thenComparingLong(alarm -> alarm.flight.request.id()));
     private int mostAttempts;
     private long timer;
-    private int listFailures;
     /** Further processes of this balancer. */
     private int others;
     /** Some answer brought a load report. */
@@ -138,9 +139,9 @@
     @Override
     public void onList(long now, ListMode mode, List<Server> servers) {
         health.onList(now, mode, servers);
-        listFailures = mode == ListMode.FAILED ? listFailures + 1 : 0;
-        if (settings.subscribe() && (mode == ListMode.CACHED || mode == ListMode.FAILED)) {
-            askLater(now);
+        boolean failed = mode == ListMode.FAILED;
+        if (settings.subscribe() && (mode == ListMode.CACHED || failed)) {
+            askLater(now, failed);
         }
     }
 
@@ -163,14 +164,15 @@
      * Subscribes in this instance's turn: its rank and chance keep the instances out of step. One that takes
      * over from another process starts alone and is held to the list's news at once, so it asks at once.
      */
-    private void askLater(long now) {
-        if (others > 0 && listFailures == 0) {
+    private void askLater(long now, boolean failed) {
+        if (others > 0 && !failed) {
             actions.wakeAt(now + 1, TIMER_LIST);
             return;
         }
-        double turn = (settings.rank() + health.nextUnit()) / Math.max(1, settings.instances());
-        double spread = settings.askWithin() * SUBSCRIBE_SPREAD * turn;
-        actions.wakeAt(now + 1 + (long) (spread * Math.min(4, 1 + listFailures / 2)), TIMER_LIST);
+        long most = Math.min(LONGEST_NS, settings.askWithin() / 2);
+        double turn = (settings.rank() + health.nextUnit()) / settings.instances();
+        long wait = (long) (turn * Math.min(most, settings.instances() * TURN_NS));
+        actions.wakeAt(now + 1 + wait + (failed ? PAUSE_NS : 0), TIMER_LIST);
     }
 
     @Override
@@ -312,9 +314,8 @@
     /**
      * A timer that comes late shows that nothing else was looked at meanwhile either: answers may wait
      * unread, so this balancer allows them as long again as it was away. Guards against taking own lateness
-     * (a cold start, a share of a core that is used up, a long collection, a suspended machine) for slow
-     * hosts: one stall had all that was out count as overload and be copied. Harm: while this balancer is
-     * late all the time, a slow fleet shows in rejections alone, and copies come later.
+     * (a cold start, a long collection, a used-up share) for slow hosts: one stall had all copied. Harm:
+     * while this balancer is late all the time, a slow fleet shows in rejections alone.
      */
     private void noticeLateness(long now) {
         long late = alarms.isEmpty() ? 0 : now - alarms.peek().at;
@@ -433,10 +434,8 @@
 
     /**
      * Whether an answer lacks the load report that others bring: a rejection then has another cause than a
-     * full queue. Hosts turn away what its client has given up meanwhile; taken for load, that has a balancer
-     * which is late itself shed nearly all, for as long as refused clients keep it late. Also guards against
-     * hosts that drain and full tables of connections. Harm: where hosts report only while they have time,
-     * their overload shows in slow answers alone.
+     * full queue. Guards against a balancer that is late itself, whose clients gave up meanwhile, and sheds
+     * nearly all. Harm: where hosts report only in spare time, overload shows in slow answers alone.
      */
     private boolean isUnexplained(float[] report) {
         reportsCome |= report.length > 0;
--- a/policy/src/test/java/frostrelay/policy/RouterTest.java
+++ b/policy/src/test/java/frostrelay/policy/RouterTest.java
@@ -351,6 +351,28 @@
         }
     }
 
+    /** News binds 6 s after discovery had it, whatever calls failed: a pause that grew to 20 s had drains broken. */
+    @Test
+    void thePauseBehindFailedCallsDoesNotGrowPastWhatNewsAllows() {
+        for (int instances : new int[] {1, 6, 100}) {
+            Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+            builder.subscribe = true;
+            builder.instances = instances;
+            builder.rank = instances - 1;
+            Bed bed = new Bed(builder);
+            bed.router.onList(bed.now, Api.ListMode.CACHED, List.of(Bed.server(1)));
+            bed.pass(10_000);
+            for (int failures = 1; failures <= 12; failures++) {
+                bed.router.onList(bed.now, Api.ListMode.FAILED, List.of());
+                long pause = bed.wakes.get(0).moment() - bed.now;
+                long most = Math.min(4_300, 210 + 250 * instances);
+                assertTrue(pause >= 200 * Bed.MS && pause <= most * Bed.MS, instances + ": " + pause);
+                bed.pass(5_000);
+            }
+            assertEquals(13, bed.subscriptions);
+        }
+    }
+
     /** The list's news binds one that takes over at once; it once waited its turn and sent to hosts that drained. */
     @Test
     void oneThatTakesOverSubscribesAtOnce() {
