Follow the agent's list where lists are pushed, and hear it before the first client

On sockets they come from an agent that has to be asked as well, and nobody did: the list of the configuration was gone by for the whole life.

Now Balancer follows the agent all the time where the module does not ask: the whole list at once at the start, a watch of 2 s from then on (an agent is our own, so this takes nobody's room), 150 ms behind a failure. What an agent has binds from the first moment of a process, so clients are listened to once it was heard, has failed, or was silent for 2 s.

Tests: an agent that holds its first answer, breaks, and tells changes; one that is down. The first was seen failing without the change (no call within 20 s).

--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -5,6 +5,8 @@
 import frostrelay.judgements.Seen;
 import frostrelay.lifecycle.SharedFolder;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -32,6 +34,10 @@
     private static final long PAUSE = 750 * Clock.MILLISECOND;
     /** A few rounds of the event loop, each of which reads all that has come; far below any aim. */
     private static final long CATCH_UP_MS = 10;
+    /** An agent that is down comes back within seconds, and what it has then binds at once, but for a drain's 500 ms. */
+    private static final long AGENT_AGAIN_MS = 150;
+    /** A silent agent tells nothing: clients are not kept waiting for it for longer at a start. */
+    private static final long FIRST_LIST_MS = 2_000;
     /** Past its deadline by this, a request that the module has left open is answered here. */
     private static final long LAST_CALL = Clock.MILLISECOND;
 
@@ -214,6 +220,8 @@
     private boolean catchUp;
     private boolean inModule;
     private long lastId;
+    /** Done once discovery was heard, or failed, where its list binds from the first moment on. */
+    private final Promise<Void> heard;
 
     Balancer(Config config, EventLoop loop, Counters counters, Module module, Backend.Maker backend,
              Budget budget, SharedFolder.Look shared, Witness witness) {
@@ -224,11 +232,25 @@
         this.counters = counters;
         this.pool = backend.create(site, this);
         this.discovery = new Discovery(config, site, loop, this);
+        this.heard = loop.newPromise();
         this.router = module.create(config.site().settings, config.seed(), this);
         onOthers(shared.others());
         onHolds(shared.holds());
         Catalog known = config.known();
         onList(Api.ListMode.CACHED, known.rev(), known.members());
+        if (site().settings.subscribe()) {
+            heard.setSuccess(null);
+        } else {
+            loop.schedule(() -> heard.trySuccess(null), FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /**
+     * Done when clients may come. Where lists are pushed, the agent's list binds from the first moment of this process, and
+     * the one of the configuration may be old: nothing is sent before the agent was heard, or has failed.
+     */
+    Future<Void> heard() {
+        return heard;
     }
 
     // What comes in.
@@ -281,6 +303,21 @@
         members.forEach(member -> listed.put(member.server().id(), member.server()));
         List<Api.Server> servers = members.stream().map(Catalog.Member::server).map(this::heard).toList();
         post(null, () -> router.onList(Clock.now(), mode, servers));
+        if (!site().settings.subscribe()) {
+            follow(mode);
+        }
+    }
+
+    /** Where lists are pushed, the module asks for none: the agent beside this process is watched all the time, at no cost. */
+    private void follow(Api.ListMode mode) {
+        if (mode == Api.ListMode.CACHED) {
+            discovery.subscribe();
+            return;
+        }
+        heard.trySuccess(null);
+        if (mode == Api.ListMode.FAILED) {
+            loop.schedule(discovery::subscribe, AGENT_AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     @Override
--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -151,11 +151,11 @@
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         Promise<ChannelFuture> started = loop.newPromise();
         if (config.console() == null) {
-            listen(started);
+            open(started);
         } else {
             new ConsoleServer(loop, this, CALL_MS).listen(config.console()).addListener(bound -> {
                 if (bound.isSuccess()) {
-                    listen(started);
+                    open(started);
                 } else {
                     started.setFailure(bound.cause());
                 }
@@ -164,6 +164,10 @@
         return started;
     }
 
+    private void open(Promise<ChannelFuture> started) {
+        balancer.heard().addListener(heard -> listen(started));
+    }
+
     private void listen(Promise<ChannelFuture> started) {
         ChannelFuture clients = server.listen(config.listen());
         clients.addListener(bound -> {
--- a/node/src/test/java/frostrelay/node/DiscoveryTest.java
+++ b/node/src/test/java/frostrelay/node/DiscoveryTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import frostrelay.policy.Api;
@@ -10,8 +11,10 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -224,6 +227,62 @@
         }
     }
 
+    /** An agent's list binds from the first moment: with the module asking for none, none was ever heard of, and all drains broken. */
+    @Test
+    void wherePushedTheAgentIsHeardBeforeClientsAreAndFollowedFromThenOn() throws Exception {
+        FakeHost[] hosts = {FakeHost.serving(), FakeHost.serving()};
+        try (FakeHost agent = discovery(); Rig rig = new Rig(hosts)) {
+            rig.discovery = agent.endpoint();
+            rig.pushed = true;
+            CompletableFuture<Void> started = CompletableFuture.runAsync(() -> {
+                try {
+                    rig.start();
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            assertEquals("GET /catalog/members HTTP/1.1", next(calls), "the whole list, at once");
+            assertThrows(TimeoutException.class, () -> started.get(500, TimeUnit.MILLISECONDS), "the old list is not to be gone by");
+            answers.add(list(8, true, Rig.target("s-0", hosts[0].endpoint(), "Terminating"),
+                    Rig.target("s-1", hosts[1].endpoint(), "Ready")));
+            started.get(Peer.LIMIT_MS, TimeUnit.MILLISECONDS);
+            try (Peer client = rig.client()) {
+                askTwenty(client);
+                assertEquals(0, hosts[0].connections.get());
+                answers.add("");
+                awaitCall("since=8");
+                awaitCall("since=8");
+                answers.add(list(9, false, Rig.target("s-0", hosts[0].endpoint(), "Ready"),
+                        Rig.target("s-1", hosts[1].endpoint(), "Gone")));
+                awaitCall("since=9");
+                int before = hosts[1].commands.size();
+                askTwenty(client);
+                assertEquals(before, hosts[1].commands.size());
+            }
+        }
+    }
+
+    private static void askTwenty(Peer client) throws IOException {
+        for (int i = 0; i < 20; i++) {
+            assertEquals("HD O" + i + " c77", client.ask("ms " + i + " 1 O" + i + " Pc=copy,t=acme,d=5000\r\nx"));
+        }
+    }
+
+    /** An agent that is down at the start tells nothing: the list of the configuration is all there is. */
+    @Test
+    void anAgentThatIsDownKeepsNobodyWaiting() throws Exception {
+        FakeHost agent = discovery();
+        agent.stop();
+        try (Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = agent.endpoint();
+            rig.pushed = true;
+            rig.start();
+            try (Peer client = rig.client()) {
+                assertEquals("HD O2 c77", client.ask(Rig.COPY));
+            }
+        }
+    }
+
     private static void reload(Rig rig, Path config) throws Exception {
         rig.loop.submit(() -> rig.node.reload(new ConfigFile(config.toString()).load())).get();
     }
--- a/node/src/test/java/frostrelay/node/Rig.java
+++ b/node/src/test/java/frostrelay/node/Rig.java
@@ -50,6 +50,9 @@
     int maxOpen = 1_000;
     long graceMs = 1_000;
     int sockets = 1024;
+    boolean cancelling = true;
+    /** Lists are pushed to an agent beside the balancer, in place of being asked for. */
+    boolean pushed;
     String discovery = "127.0.0.1:1";
     /** Where operators call; nowhere if null. */
     String console;
@@ -72,7 +75,8 @@
 
     String settings() {
         return String.format(Locale.ROOT, SETTINGS, deadlineMs, idleMs, connectMs, maxOpen,
-                graceMs * Clock.MILLISECOND, aimMs);
+                graceMs * Clock.MILLISECOND, aimMs).replace("\"cancelling\":true", "\"cancelling\":" + cancelling)
+                .replace("\"discovery\":\"subscribe\"", "\"discovery\":\"" + (pushed ? "automatic" : "subscribe") + "\"");
     }
 
     String config(String listen) {
