Read ahead of what a client has open, and end its connection behind the last answer

A client that left behind more commands than one connection may have open (64) was not seen to go: reading rested, and the end of a connection stands behind all that was sent on it. Its requests ran on to their deadlines (7.9 s in the test), and further ones were begun meanwhile. At fault: ClientServer.adjust, which switched reading off. Behind a fault, and at the end of a departure, connections were closed over unread bytes. That resets them, and what the system still held of earlier answers was lost (a reset in place of 60,000 bytes in the test). Now the output is shut, what comes is passed over with pauses, and the close follows the client's, or 1 s. Of commands that came together past the time in which all can be answered before an end, the first was told busy and the others nothing, as quitting dropped them. Now all that was read is answered before a connection that is sent away closes; likewise where there was no room for it.

Idle connections that were retired by a plain close are now shut first as well.

--- a/node/src/main/java/frostrelay/node/ClientServer.java
+++ b/node/src/main/java/frostrelay/node/ClientServer.java
@@ -16,9 +16,9 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.flow.FlowControlHandler;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.util.ArrayDeque;
@@ -31,7 +31,7 @@
 
 /** Clients' connections: reads commands and writes their answers in the order of the commands. */
 final class ClientServer {
-    /** Requests of one connection that may be open at once; reading stops there. */
+    /** Requests of one connection that may be open at once; further ones wait to be begun. */
     private static final int MOST_PIPELINED = 64;
     /** Bytes of answers, over all connections, that clients may leave unread. */
     private static final long MOST_UNREAD = 8L * 1024 * 1024;
@@ -56,6 +56,10 @@
     private static final long NEWCOMER_NS = 300 * Clock.MILLISECOND;
     /** A client that does not take the answer behind which its connection closes is not waited for longer. */
     private static final long FAREWELL_NS = 2 * Clock.SECOND;
+    /** A client that has been sent the end of a connection closes it a way's time later; each that does not holds a descriptor. */
+    private static final long LINGER_NS = Clock.SECOND;
+    /** What comes on a connection that answers nothing more is passed over with such pauses: a flood must not cost much. */
+    private static final long PASS_OVER_MS = 50;
     /** No connection that has yet to speak is closed sooner to make room: its command may be on its way. */
     private static final long YOUNG_NS = 100 * Clock.MILLISECOND;
     /** So large a part of all connections without a good command is a crowd. */
@@ -81,6 +85,9 @@
     private final Set<Connection> idle = new LinkedHashSet<>();
     /** Likewise those that never brought a good command, or brought a bad one: the first to make room. */
     private final Set<Connection> doubtful = new LinkedHashSet<>();
+    /** Those whose output is shut, until their clients have closed as well: there is nothing on them to lose. */
+    private final Set<Connection> farewells = new LinkedHashSet<>();
+    private final ReadAhead.Total ahead = new ReadAhead.Total();
     /** Those that came while there was no room, and have not been given any yet. */
     private final Queue<Connection> waiting = new ArrayDeque<>();
     private Channel server;
@@ -120,8 +127,8 @@
                     @Override
                     protected void initChannel(Channel fresh) {
                         MetaDecoder decoder = MetaDecoder.ofCommands(budget);
-                        fresh.pipeline().addLast(decoder, new FlowControlHandler(),
-                                new Connection(fresh, decoder));
+                        Connection connection = new Connection((SocketChannel) fresh, decoder);
+                        fresh.pipeline().addLast(connection.readAhead, decoder, connection);
                     }
                 }).bind(address);
         server = bound.channel();
@@ -166,8 +173,8 @@
         for (Connection late = waiting.poll(); late != null; late = waiting.poll()) {
             // In a crowd that says nothing all are young: good idle connections must not make room for it.
             long least = doubtful.size() > mostClients / CROWD_PART ? 0 : YOUNG_NS;
-            if (connections.contains(late) && connections.size() > mostClients && !evict(doubtful, least)
-                    && !evict(idle, 0)) {
+            if (connections.contains(late) && connections.size() > mostClients && !evict(farewells, 0)
+                    && !evict(doubtful, least) && !evict(idle, 0)) {
                 late.surplus = true;
             }
         }
@@ -183,7 +190,7 @@
             return false;
         }
         counters.evicted++;
-        evicted.end();
+        evicted.drop();
         return true;
     }
 
@@ -318,38 +325,46 @@
         }
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<MetaFrame> {
-        private final Channel channel;
+    private final class Connection extends SimpleChannelInboundHandler<MetaFrame> implements ReadAhead.Listener {
+        private final SocketChannel channel;
         private final MetaDecoder decoder;
+        private final ReadAhead readAhead = new ReadAhead(this, ahead, READS_AT_ONCE);
         private final Queue<Slot> slots = new ArrayDeque<>();
+        /** Commands that have been read and not begun. */
+        private final Queue<MetaFrame> arrived = new ArrayDeque<>();
         /** When it came, fell idle or began to quit. */
         private long since = Clock.now();
         /** When the command that is still coming in began; 0 if there is none. */
         private long halfSince;
+        /** A command has been begun since it was idle last. */
+        private boolean asked;
         private boolean spoke;
         private int faults;
         private long pausedUntil;
         /** There was no room for it: all it gets is a refusal. */
         private boolean surplus;
         private boolean quitting;
-        /** The last answer is on its way and the close behind it. */
+        /** The last answer is on its way and the end of our output behind it. */
         private boolean leaving;
+        /** The output has ended; only the client's end is waited for. */
+        private boolean shut;
         private boolean gone;
+        /** Commands are being begun: answers wait until that is done. */
         private boolean reading;
-        /** The command that was read last, and its place, until it is begun. */
-        private Slot pending;
-        private MetaFrame pendingFrame;
+        /** The task that begins commands is due. */
+        private boolean due;
         /** Made once: see {@link Balancer} on lambdas. */
         private final Runnable beginning = this::begin;
+        private final Runnable adjusting = this::adjust;
 
-        Connection(Channel channel, MetaDecoder decoder) {
+        Connection(SocketChannel channel, MetaDecoder decoder) {
             this.channel = channel;
             this.decoder = decoder;
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            if (connections.size() >= mostClients + mostSurplus) {
+            if (connections.size() >= mostClients + mostSurplus && !evict(farewells, 0)) {
                 counters.turnedAway++;
                 gone = true;
                 ctx.close();
@@ -365,9 +380,20 @@
             }
         }
 
+        /** To be closed as soon as all that was read from it is answered. */
+        private boolean isUnwelcome() {
+            return surplus || departure != null;
+        }
+
+        /** Nothing that was read waits for its answer, or to be begun. */
+        private boolean isDone() {
+            return slots.isEmpty() && arrived.isEmpty() && readAhead.isEmpty();
+        }
+
         private void beIdle() {
             // Asked again while it is idle, it keeps its place in the line.
-            if ((spoke && faults == 0 ? idle : doubtful).add(this)) {
+            if ((spoke && faults == 0 ? idle : doubtful).add(this) && asked) {
+                asked = false;
                 since = Clock.now();
             }
         }
@@ -375,11 +401,11 @@
         private void beBusy() {
             idle.remove(this);
             doubtful.remove(this);
-            halfSince = 0;
+            farewells.remove(this);
         }
 
         /** Counted out now, as the channel reports its end only later: a burst would evict but one. */
-        private void end() {
+        private void drop() {
             beBusy();
             connections.remove(this);
             channel.close();
@@ -389,76 +415,104 @@
             if (!slots.isEmpty() && slots.peek().isStalled(now)) {
                 counters.cutShort++;
                 channel.close();
-            } else if (departure != null && slots.isEmpty() && !leaving && (spoke || now - since >= NEWCOMER_NS)
+            } else if (departure != null && isDone() && !leaving && (spoke || now - since >= NEWCOMER_NS)
                     && now >= (halfSince == 0 ? departure.idleUntil() : departure.serveUntil())) {
-                quitting = true;
-                adjust();
+                quit();
             } else if (leaving) {
-                if (now - since > FAREWELL_NS) {
+                if (now - since > (shut ? LINGER_NS : FAREWELL_NS)) {
                     channel.close();
                 }
-            } else if (slots.isEmpty()) {
+            } else if (isDone()) {
                 boolean late = !spoke && now - since > COMMAND_NS || halfSince != 0 && now - halfSince > COMMAND_NS;
                 if (late) {
                     counters.timedOut++;
-                    end();
+                    quit();
                 } else if (now - since > IDLE_NS) {
                     counters.retired++;
-                    end();
+                    quit();
                 }
             }
         }
 
+        private void quit() {
+            quitting = true;
+            adjust();
+        }
+
+        /** Bytes that wait keep a connection from being evicted: they may be a command. */
+        @Override
+        public void onBytes() {
+            beBusy();
+        }
+
+        @Override
+        public void onRead(boolean bytes) {
+            if (quitting && bytes) {
+                pauseReading(PASS_OVER_MS);
+            } else {
+                beginSoon();
+            }
+        }
+
+        private void pauseReading(long ms) {
+            pausedUntil = Clock.now() + ms * Clock.MILLISECOND;
+            channel.config().setAutoRead(false);
+            loop.schedule(adjusting, ms, TimeUnit.MILLISECONDS);
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, MetaFrame frame) {
-            begin();
-            if (quitting) {
-                return;
+            arrived.add(frame);
+        }
+
+        private void beginSoon() {
+            if (!due) {
+                due = true;
+                loop.execute(beginning);
             }
-            beBusy();
-            pending = new Slot(this);
-            pendingFrame = frame;
-            slots.add(pending);
-            loop.execute(beginning);
+        }
+
+        private boolean mayBegin() {
+            return !quitting && slots.size() < MOST_PIPELINED && channel.isWritable() && Clock.now() >= pausedUntil;
         }
 
         /**
-         * Begins the command that was read last, once the reads of this turn are over: by then the end of a
-         * connection that was closed behind it has been seen too, and what nobody waits for any more is let drop.
+         * Begins the commands that were read, once the reads of this turn are over: by then the end of a
+         * connection that was closed behind them has been seen too, and what nobody waits for any more is let drop.
          * Guards against a queue of connections that all are dead by the time they are accepted, each of which
          * would cost as much as a live one: a slow start, a stalled machine, any burst that clients give up on.
          * Harm: a client that only closes its sending side is not answered, as ever.
          */
         private void begin() {
-            Slot slot = pending;
-            MetaFrame frame = pendingFrame;
-            pending = null;
-            pendingFrame = null;
-            if (slot == null || gone) {
+            due = false;
+            if (gone) {
                 return;
             }
             if (!channel.isActive()) {
-                counters.departed++;
+                counters.departed += isDone() ? 0 : 1;
                 return;
             }
             reading = true;
-            if (frame.fault() != null) {
-                fault(slot, frame.fault(), frame.last());
-            } else {
-                take(slot, frame);
+            while (mayBegin() && (!arrived.isEmpty() || readAhead.feed())) {
+                MetaFrame frame = arrived.poll();
+                if (frame != null) {
+                    asked = true;
+                    Slot slot = new Slot(this);
+                    slots.add(slot);
+                    if (frame.fault() != null) {
+                        fault(slot, frame.fault(), frame.last());
+                    } else {
+                        take(slot, frame);
+                    }
+                }
             }
-            reading = false;
-            flushReady();
-        }
-
-        /** How long half a command has been here, seen once all that came has been read. */
-        @Override
-        public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (!slots.isEmpty() || decoder.isClean()) {
+            if (!isDone() || decoder.isClean()) {
                 halfSince = 0;
             } else if (halfSince == 0) {
                 halfSince = Clock.now();
             }
+            reading = false;
+            flushReady();
         }
 
         /**
@@ -469,8 +523,7 @@
             counters.malformed++;
             faults++;
             quitting = last || faults >= MOST_FAULTS;
-            pausedUntil = Clock.now() + PENALTY_MS * Clock.MILLISECOND;
-            loop.schedule(this::adjust, PENALTY_MS, TimeUnit.MILLISECONDS);
+            pauseReading(PENALTY_MS);
             slot.answer(answer + "\r\n", null);
         }
 
@@ -493,7 +546,6 @@
         private void request(Slot slot, MetaFrame frame) {
             if (surplus || departure != null && Clock.now() >= departure.serveUntil()) {
                 counters.localRefusals++;
-                quitting = true;
                 slot.answer("SERVER_ERROR busy\r\n", null);
                 return;
             }
@@ -528,7 +580,7 @@
             if (wrote) {
                 channel.flush();
                 // Its client has just been answered: nothing is on the way that a close could cross.
-                quitting |= departure != null && slots.isEmpty();
+                quitting |= isUnwelcome() && isDone();
             }
             adjust();
         }
@@ -542,35 +594,55 @@
         private void passed(Slot slot) {
             slots.remove(slot);
             channel.flush();
-            quitting |= departure != null && slots.isEmpty();
+            quitting |= isUnwelcome() && isDone();
             if (reading) {
                 return;
             }
             flushReady();
         }
 
-        /** Reads on, stops reading, or closes, as its open requests and its client's reading allow. */
+        /** Begins what waits, reads on, stops reading, or leaves, as its open requests and its client's reading allow. */
         void adjust() {
-            if (gone || leaving) {
+            if (gone) {
                 return;
             }
-            if (slots.isEmpty() && quitting) {
-                // Behind what is still being written: a close at once would cut a long answer short.
-                leaving = true;
-                quitting = true;
-                since = Clock.now();
-                channel.config().setAutoRead(false);
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            if (quitting) {
+                arrived.clear();
+                readAhead.discard();
+            }
+            if (quitting && slots.isEmpty() && !leaving) {
+                leave();
             } else if (unread > MOST_UNREAD && !channel.isWritable()) {
                 // A client that does not read its answers must not take the memory of the others.
                 channel.close();
-            } else {
-                if (slots.isEmpty()) {
-                    beIdle();
+                return;
+            } else if (isDone() && !leaving) {
+                beIdle();
+            } else if (!arrived.isEmpty() || !readAhead.isEmpty()) {
+                if (mayBegin()) {
+                    beginSoon();
                 }
-                channel.config().setAutoRead(!quitting && slots.size() < MOST_PIPELINED && channel.isWritable()
-                        && Clock.now() >= pausedUntil);
             }
+            channel.config().setAutoRead(readAhead.hasRoom() && Clock.now() >= pausedUntil);
+        }
+
+        /**
+         * Shuts the output behind what is still being written and reads on until the client has closed as well, for a while:
+         * a close over bytes that were not read resets the connection, and its client loses the last answer. What is read
+         * from now on is passed over, and its client sends it again elsewhere.
+         */
+        private void leave() {
+            leaving = true;
+            since = Clock.now();
+            beBusy();
+            farewells.add(this);
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> channel.shutdownOutput().addListener(ended -> {
+                shut = true;
+                since = Clock.now();
+                if (!ended.isSuccess()) {
+                    channel.close();
+                }
+            }));
         }
 
         @Override
@@ -586,6 +658,7 @@
             gone = true;
             connections.remove(this);
             beBusy();
+            arrived.clear();
             for (Slot slot : slots) {
                 if (slot.value != null) {
                     slot.value.cancel();
--- a/node/src/test/java/frostrelay/node/LimitsTest.java
+++ b/node/src/test/java/frostrelay/node/LimitsTest.java
@@ -138,6 +138,69 @@
         }
     }
 
+    /**
+     * The end of a connection stands behind all that was sent on it. Read no further than what one may have open, a client
+     * that sent more and left was not seen to go until its first requests were over, and the others were begun then.
+     */
+    @Test
+    void aClientThatLeavesBehindMoreThanItMayHaveOpenIsSeenToGo() throws Exception {
+        int requests = 1_000;
+        StringBuilder commands = new StringBuilder();
+        for (int i = 0; i < requests; i++) {
+            commands.append("mg ").append(i).append(" v O").append(i).append(" Pc=read,t=acme,d=9000\r\n");
+        }
+        try (Rig rig = new Rig(FakeHost.answering(command -> null)).start()) {
+            long begun;
+            try (Peer client = rig.client()) {
+                client.write(commands.toString());
+                for (int i = 0; i < 60; i++) {
+                    assertTrue(rig.hosts.get(0).command() != null);
+                }
+                begun = System.nanoTime();
+            }
+            ServingTest.awaitGauge(rig, "open 0 clients 0");
+            long ms = (System.nanoTime() - begun) / 1_000_000;
+            assertTrue(ms < 3_000, "seen by its end and not by their deadlines: " + ms);
+            ServingTest.awaitGauge(rig, "ledger 0");
+            assertTrue(rig.hosts.get(0).commands.size() <= 4, "begun: 60 and " + rig.hosts.get(0).commands.size());
+        }
+    }
+
+    /**
+     * A close over bytes that were not read resets the connection, and with it goes what the system still held of an answer
+     * that its client reads slowly.
+     */
+    @Test
+    void whoSendsOnBehindAFaultGetsItsAnswersWhole() throws Exception {
+        String value = "v".repeat(60_000);
+        try (Rig rig = new Rig(FakeHost.answering(c -> FakeHost.value(c, value))).start(); Peer client = rig.slowClient()) {
+            client.write(Rig.READ + "\r\nms k x\r\n" + "y".repeat(150_000));
+            // It reads nothing before we have closed.
+            ServingTest.awaitGauge(rig, "clients 1");
+            ServingTest.awaitGauge(rig, "clients 0");
+            assertEquals("VA 60000 O1", client.line());
+            assertEquals(value, client.data(value.length()));
+            assertEquals("CLIENT_ERROR bad data chunk", client.line());
+            assertEquals(null, client.line());
+        }
+    }
+
+    /** The end of our output has crossed what it sent: it is not served any more, and its client asks again elsewhere. */
+    @Test
+    void whatComesBehindTheEndOfOurOutputIsNotSentOn() throws Exception {
+        FakeHost host = FakeHost.serving();
+        try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
+            assertEquals("HD O2 c77", client.ask(Rig.COPY));
+            rig.loop.submit(rig.node::startDrain).get();
+            assertEquals("HD O2 c77", client.ask(Rig.COPY));
+            assertEquals(null, client.line(), "closed behind its answer");
+            client.write(Rig.COPY + "\r\n");
+            client.leave();
+            ServingTest.awaitGauge(rig, "clients 0");
+            assertEquals(2, host.commands.size());
+        }
+    }
+
     /** A client that reads nothing must not gather answers without bound; others are served beside it. */
     @Test
     void aClientThatDoesNotReadStopsBeingReadItself() throws Exception {
--- a/node/src/test/java/frostrelay/node/Peer.java
+++ b/node/src/test/java/frostrelay/node/Peer.java
@@ -55,6 +55,18 @@
         return write(command + "\r\n").line();
     }
 
+    /** Waits for the far end to close; whether it did so in order, and not with a reset. */
+    boolean endsInOrder() throws IOException {
+        try {
+            while (in.read() >= 0) {
+                // What it still says is passed over.
+            }
+            return true;
+        } catch (java.net.SocketException e) {
+            return false;
+        }
+    }
+
     /** Waits for the far end to close; what it still says is passed over. */
     void awaitEnd() throws IOException {
         String line = line();
--- a/node/src/test/java/frostrelay/node/StopTest.java
+++ b/node/src/test/java/frostrelay/node/StopTest.java
@@ -17,6 +17,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -65,6 +67,34 @@
         }
     }
 
+    /** Past the time in which all can still be answered, of commands that came together the first alone was told so. */
+    @Test
+    void allThatIsReadTooLateBeforeAnEndIsRefused() throws Exception {
+        BlockingQueue<String> gate = new LinkedBlockingQueue<>();
+        FakeHost host = FakeHost.answering(command -> {
+            try {
+                gate.take();
+                return FakeHost.served(command);
+            } catch (InterruptedException e) {
+                return null;
+            }
+        });
+        try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
+            client.write(Rig.COPY.replace("O2", "Oheld") + "\r\n");
+            assertTrue(host.command() != null);
+            rig.loop.submit(() -> rig.node.stop(false)).get();
+            // With deadlines of 10 s what comes more than 600 ms behind the call could not be answered in time.
+            Thread.sleep(800);
+            client.write(Rig.COPY + "\r\n" + Rig.PUT + "\r\n");
+            gate.add("go on");
+            assertEquals("HD Oheld c77", client.line());
+            assertEquals("SERVER_ERROR busy", client.line());
+            assertEquals("SERVER_ERROR busy", client.line());
+            assertTrue(client.endsInOrder());
+            assertEquals(0, host.commands.size());
+        }
+    }
+
     private Process start(String config) throws IOException {
         return start(config, folder);
     }
