Keep repeats within their window while they connect, and send nothing for those who left

A keyed write was repeated until nine tenths of its window had passed, measured when it was decided. Where its connection came up only then, it began up to 250 ms later (the settings' limit): with a window of a second, outside of it, where caches run it again. At fault: Router.mayRepeat. Where the settings forbid cancelling, the module cancels nothing, and a request that waited for its connection was written when that came up, seconds after its client had left. At fault: HostPool.Link.channelActive. What was not sent is not begun once its request is over; that is no cancel, as nothing has gone out.

Tests: the window on both sides of its edge; a host whose accept queue is full, so that the connection comes up on command.

--- a/emulator/src/main/java/frostrelay/emulator/Emulation.java
+++ b/emulator/src/main/java/frostrelay/emulator/Emulation.java
@@ -13,6 +13,7 @@
     private static final long SECOND = 1_000_000_000L;
     static final long DRAIN_GRACE = SECOND / 2;
     private static final long REPEAT_WINDOW = 8 * SECOND;
+    private static final long CONNECT = SECOND / 4;
     /** What tenants may ask for, for each request that they ask on the mean. */
     private static final double ROOM = 1.35;
 
@@ -170,7 +171,7 @@
         double perSecond = plant.clients().rate();
         List<Api.Tenant> tenants = plant.tenants().stream().map(part -> new Api.Tenant(ROOM * part * perSecond, part)).toList();
         return new Api.Settings(classes, tenants, rank % plant.zones(), rank, plant.balancers(), false, -1, true,
-                plant.balancer().maxAttempts(), plant.balancer().hedges(), true, true, SECOND, DRAIN_GRACE, 5 * SECOND,
+                plant.balancer().maxAttempts(), plant.balancer().hedges(), true, CONNECT, true, SECOND, DRAIN_GRACE, 5 * SECOND,
                 plant.cache().coldFrom(), Math.max(1, plant.cache().warmWithin()), ColdGuard.TIP_MULTIPLE,
                 ColdGuard.FALL_TIME, 1, SECOND, null,
                 new Api.ReportLayout(-1, -1, -1));
--- a/node/src/main/java/frostrelay/node/HostPool.java
+++ b/node/src/main/java/frostrelay/node/HostPool.java
@@ -260,7 +260,7 @@
             counted = true;
             links++;
             host.links++;
-            int timeout = (int) Math.max(1, site.get().connectTimeout / Clock.MILLISECOND);
+            int timeout = (int) Math.max(1, site.get().settings.connectTimeout() / Clock.MILLISECOND);
             ChannelFuture up = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout).handler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel fresh) {
@@ -293,6 +293,12 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
+            if (attempt != null && attempt.exchange.over) {
+                // Its client was answered or left, where nothing may be cancelled: what was not sent is not begun.
+                Attempt late = attempt;
+                release();
+                listener.onAnswer(late, Reason.MOOT, null, null);
+            }
             if (attempt == null) {
                 // Cancelled or cut while the connection came up: nothing is written, the connection is kept.
                 goIdle();
--- a/node/src/main/java/frostrelay/node/Site.java
+++ b/node/src/main/java/frostrelay/node/Site.java
@@ -22,7 +22,6 @@
     private static final long DROPPED_NS = 5 * Clock.SECOND;
 
     final Api.Settings settings;
-    final long connectTimeout;
     final long idleTime;
     final int maxOpen;
     private final Map<String, Integer> classes;
@@ -51,7 +50,6 @@
         if (settings.classes().isEmpty()) {
             throw new ConfigException("the settings name no request class");
         }
-        connectTimeout = whole(lines, "ceilings.connect-timeout-ns", 250 * Clock.MILLISECOND);
         idleTime = whole(lines, "ceilings.conn-idle-ns", 10 * Clock.SECOND);
         maxOpen = (int) whole(lines, "ceilings.max-open", 20_000);
         if (whole(lines, "ceilings.multiplex", 1) < 1) {
--- a/node/src/test/java/frostrelay/node/ConnectingTest.java
+++ b/node/src/test/java/frostrelay/node/ConnectingTest.java
@@ -84,6 +84,30 @@
         }
     }
 
+    /** Where nothing may be cancelled, what waited for its connection was sent once that was up, seconds after its client left. */
+    @Test
+    void whatItsClientLeftWhileItsConnectionCameUpIsNotSentWhereNothingMayBeCancelled() throws Exception {
+        try (FullHost host = new FullHost(); Rig rig = new Rig()) {
+            rig.extraTargets.add(host.target());
+            rig.connectMs = Peer.LIMIT_MS;
+            rig.cancelling = false;
+            rig.start();
+            try (Peer client = rig.client()) {
+                try (Peer leaver = rig.client()) {
+                    leaver.write("ms 1 1 Oleft Pc=copy,t=acme,d=9000\r\nx\r\n");
+                    ServingTest.awaitGauge(rig, "links 1 open 1");
+                }
+                ServingTest.awaitGauge(rig, "open 0");
+                try (Peer peer = host.accept()) {
+                    ServingTest.awaitGauge(rig, "idle 1 ledger 0");
+                    client.write("ms 1 1 Olater Pc=copy,t=acme,d=9000\r\nx\r\n");
+                    String command = peer.line();
+                    assertTrue(command.contains(" Olater "), command);
+                }
+            }
+        }
+    }
+
     @Test
     void aConnectionThatNeverComesUpIsGivenUpInTime() throws Exception {
         try (FullHost host = new FullHost(); Rig rig = new Rig()) {
--- a/policy/src/main/java/frostrelay/policy/Api.java
+++ b/policy/src/main/java/frostrelay/policy/Api.java
@@ -80,8 +80,8 @@
      */
     public record Settings(List<RequestClass> classes, List<Tenant> tenants, int zone, int rank,
                            int instances, boolean aside, int originKind, boolean subscribe, int maxAttempts,
-                           boolean mayDuplicate, boolean mayCancel, boolean retryAfter, long maxRetryAfter,
-                           long drainGrace, long askWithin, double coldFrom,
+                           boolean mayDuplicate, boolean mayCancel, long connectTimeout, boolean retryAfter,
+                           long maxRetryAfter, long drainGrace, long askWithin, double coldFrom,
                            long warmWithin, double tipMultiple, long fallTime, double overShareWorth,
                            long keyQuiet, Budget budget, ReportLayout report) {
     }
--- a/policy/src/main/java/frostrelay/policy/Router.java
+++ b/policy/src/main/java/frostrelay/policy/Router.java
@@ -21,7 +21,7 @@
     private static final double IDLE = 0.5;
     /** Part of the wait for an answer by which timers may be late. */
     private static final double LATE = 0.125;
-    /** Safety taken off the window within which servers drop repeats. */
+    /** Part of the window for repeats that is used, less a new connection's time; the rest is for ways. */
     private static final double WINDOW_SAFETY = 0.9;
 
     /** One send and how it ended. */
@@ -514,9 +514,10 @@
         return settings.classes().get(flight.request.requestClass());
     }
 
-    private static boolean mayRepeat(long now, RequestClass c, Attempt first, Host host) {
+    private boolean mayRepeat(long now, RequestClass c, Attempt first, Host host) {
         return c.effect() == Effect.RETRYABLE
-                || c.effect() == Effect.DEDUP && now - first.sentAt <= c.window() * WINDOW_SAFETY
+                || c.effect() == Effect.DEDUP
+                && now + settings.connectTimeout() - first.sentAt <= c.window() * WINDOW_SAFETY
                 && (c.group() != Group.ZONE || first.host.zone == host.zone)
                 && (c.group() != Group.CELL || first.host.cell == host.cell);
     }
--- a/policy/src/main/java/frostrelay/settings/SettingsParser.java
+++ b/policy/src/main/java/frostrelay/settings/SettingsParser.java
@@ -18,6 +18,7 @@
     private static final double DEFAULT_COLD = 0.1;
     private static final double DEFAULT_TIP = 2;
     private static final long DEFAULT_QUIET = SECOND;
+    private static final long DEFAULT_CONNECT = SECOND / 4;
     private static final long DEFAULT_SPAN = 10 * SECOND;
     /** More items than this in a list are taken for a damaged message. */
     private static final int MOST_ITEMS = 10_000;
@@ -55,7 +56,7 @@
                 (int) whole("family-info.origin-kind", -1),
                 text("discovery", "automatic").equals("subscribe"),
                 (int) whole("ceilings.max-attempts", 1), flag("ceilings.may-duplicate"),
-                flag("ceilings.cancelling"), flag("ceilings.retry-after"),
+                flag("ceilings.cancelling"), whole("ceilings.connect-timeout-ns", DEFAULT_CONNECT), flag("ceilings.retry-after"),
                 whole("ceilings.max-retry-after-ns", 0),
                 whole("guarantees.stop-sending-within-ns", 0),
                 whole("guarantees.ask-within-ns", 10 * SECOND),
--- a/policy/src/test/java/frostrelay/policy/Bed.java
+++ b/policy/src/test/java/frostrelay/policy/Bed.java
@@ -208,6 +208,7 @@
         boolean subscribe;
         boolean mayDuplicate = true;
         int maxAttempts = 6;
+        long connectTimeout;
         int rank;
         int instances = 1;
         double lateWorth;
@@ -229,7 +230,7 @@
                     new Api.RequestClass(1000 * MS, 0, 4000 * MS, 5, lateWorth, unsafeEffect,
                             Api.Group.CELL, 0, false, false));
             return new Api.Settings(classes, tenants, 0, rank, instances, aside, aside ? 2 : -1, subscribe,
-                    maxAttempts, mayDuplicate, true, true, 2000 * MS, 250 * MS, 10_000 * MS,
+                    maxAttempts, mayDuplicate, true, connectTimeout, true, 2000 * MS, 250 * MS, 10_000 * MS,
                     0.2, 10_000 * MS, 4, 1000 * MS, overShareWorth,
                     50 * MS, budget, report);
         }
--- a/policy/src/test/java/frostrelay/policy/EmbeddingExample.java
+++ b/policy/src/test/java/frostrelay/policy/EmbeddingExample.java
@@ -46,7 +46,7 @@
         Api.RequestClass read = new Api.RequestClass(300 * ms, 0, 600 * ms, 1, 0,
                 Api.Effect.RETRYABLE, Api.Group.ALL, 0, false, false);
         Api.Settings settings = new Api.Settings(List.of(read), List.of(), 0, 0, 1, false, -1, false, 3, true,
-                true, false, 0, 250 * ms, 10_000 * ms, 0.2, 20_000 * ms, 4, 1_000 * ms, 1,
+                true, 250 * ms, false, 0, 250 * ms, 10_000 * ms, 0.2, 20_000 * ms, 4, 1_000 * ms, 1,
                 0, null, new Api.ReportLayout(-1, -1, -1));
         Router router = new Router(settings, 42, actions);
         long now = 1_000 * ms;
--- a/policy/src/test/java/frostrelay/policy/RouterTest.java
+++ b/policy/src/test/java/frostrelay/policy/RouterTest.java
@@ -388,6 +388,20 @@
         assertTrue(bed.wakes.get(1).moment() - bed.now > Bed.MS, "a failed call is not repeated at once");
     }
 
+    /** A repeat may begin as late as its connection comes up: by then servers must still know the first one. */
+    @Test
+    void aKeyedRepeatBeginsWithinTheWindowAlsoOnANewConnection() {
+        for (int after : new int[] {190, 210}) {
+            Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+            builder.connectTimeout = 250 * Bed.MS;
+            Bed bed = new Bed(builder).servers(4);
+            bed.request(1, Bed.KEYED, 5);
+            bed.pass(after);
+            // Of the window of 500 ms 450 are used, and 250 of these may pass before the repeat begins.
+            assertEquals(after < 200, bed.outcome(1, 0, Api.Reason.RESET) != null, "after " + after + " ms");
+        }
+    }
+
     @Test
     void aStartedStreamBelongsToTheClient() {
         Bed bed = bed().servers(4);
