Refuse settings that cannot be meant at a start as well, with the key's whole path

A class with an effect that nobody knows was taken for the strictest at a start, and one without a deadline was given a second: only replaced files were checked. Messages named 'deadline-ns' without saying whose. ConfigCheck.values now runs at both, says the whole path, and also looks at open requests, streams of a connection, the number of instances and of descriptors.

Test: six files that cannot be meant, each refused with its key; seen failing without the change.

--- a/node/src/main/java/frostrelay/node/Config.java
+++ b/node/src/main/java/frostrelay/node/Config.java
@@ -33,6 +33,7 @@
     }
 
     static Config parse(Map<?, ?> json) {
+        ConfigCheck.values(json);
         return parse(json, new Site(Json.get(json, "settings", Map.class)));
     }
 
--- a/node/src/main/java/frostrelay/node/ConfigCheck.java
+++ b/node/src/main/java/frostrelay/node/ConfigCheck.java
@@ -5,13 +5,12 @@
 import java.util.Map;
 
 /**
- * Whether a configuration that replaces a running one is whole. What the running one tells the new one must tell too:
+ * Whether a configuration can be meant, and one that replaces a running one is whole. What the running one tells the new one must tell too:
  * a default in place of a key that went missing would be nobody's intention.
  */
 final class ConfigCheck {
     /** Only used at a start, and with a life of its own: that it is there is enough. */
     private static final String KNOWN = "known";
-    private static final List<String> POSITIVE = List.of("deadline-ns", "goal-time-ns", "max-attempts");
     private static final List<String> EFFECTS = List.of("retryable", "dedup", "fragile");
 
     private ConfigCheck() {
@@ -20,7 +19,7 @@
     /** Throws what is wrong, in one line. */
     static void replaces(Map<?, ?> running, Map<?, ?> fresh) {
         compare("", running, fresh);
-        values(Json.get(fresh, "settings", Map.class));
+        values(fresh);
     }
 
     private static void compare(String path, Object running, Object fresh) {
@@ -70,28 +69,38 @@
         return type.cast(value);
     }
 
-    private static void values(Map<?, ?> settings) {
-        positive(Json.get(settings, "ceilings", Map.class, Map.of()));
+    /** Whether what a configuration tells can be meant at all, at a start as well; throws what is wrong, in one line. */
+    static void values(Map<?, ?> json) {
+        positive("limits", Json.get(json, "limits", Map.class, Map.of()), "sockets");
+        Map<?, ?> settings = Json.get(json, "settings", Map.class);
+        positive("settings", settings, "n-instances");
+        positive("settings.ceilings", Json.get(settings, "ceilings", Map.class, Map.of()), "max-attempts", "max-open", "multiplex");
         List<String> names = new ArrayList<>();
         for (Object item : Json.list(settings, "categories")) {
             Map<?, ?> category = Json.object(item);
-            positive(category);
+            String path = "settings.categories." + names.size();
+            if (category.get("deadline-ns") == null) {
+                throw new ConfigException("'" + path + ".deadline-ns' is missing");
+            }
+            positive(path, category, "deadline-ns", "goal-time-ns");
             String name = Json.get(category, "name", String.class);
             if (name.isEmpty() || names.contains(name)) {
-                throw new ConfigException("a class has no name, or that of another: '" + name + "'");
+                throw new ConfigException("'" + path + ".name': a class has no name, or that of another: '" + name + "'");
             }
             names.add(name);
-            if (!EFFECTS.contains(Json.get(category, "effect", String.class, EFFECTS.get(0)))) {
-                throw new ConfigException("unknown effect of class " + name + ": " + category.get("effect"));
+            // Left out, the strictest holds.
+            String effect = Json.get(category, "effect", String.class, "fragile");
+            if (!EFFECTS.contains(effect)) {
+                throw new ConfigException("'" + path + ".effect': unknown effect of class " + name + ": " + effect);
             }
         }
     }
 
-    private static void positive(Map<?, ?> object) {
-        for (String name : POSITIVE) {
+    private static void positive(String path, Map<?, ?> object, String... names) {
+        for (String name : names) {
             Number number = Json.get(object, name, Number.class, 1);
             if (!(number.doubleValue() >= 1) || Double.isInfinite(number.doubleValue())) {
-                throw new ConfigException("'" + name + "' is no positive number: " + number);
+                throw new ConfigException("'" + path + "." + name + "' is no positive number: " + number);
             }
         }
     }
--- a/node/src/test/java/frostrelay/node/ReloadTest.java
+++ b/node/src/test/java/frostrelay/node/ReloadTest.java
@@ -95,6 +95,24 @@
         assertEquals(running.site().names(), running.succeed(json(whole)).site().names());
     }
 
+    /** At a start as well: an effect that nobody knows was once taken for the strictest, and a missing deadline for a second. */
+    @Test
+    void whatCannotBeMeantIsRefusedWithItsKey() {
+        String whole = new Rig().config("127.0.0.1:0");
+        Map<String, String> broken = Map.of(
+                "settings.categories.1.effect", whole.replace("\"effect\":\"fragile\"", "\"effect\":\"often\""),
+                "settings.categories.0.deadline-ns", whole.replaceFirst("\"deadline-ns\":10000000000,", ""),
+                "settings.categories.0.goal-time-ns", whole.replaceFirst("\"goal-time-ns\":5000000000", "\"goal-time-ns\":0"),
+                "settings.ceilings.max-open", whole.replace("\"max-open\":1000", "\"max-open\":-1"),
+                "settings.n-instances", whole.replace("\"n-instances\":1", "\"n-instances\":0"),
+                "limits.sockets", whole.replace("\"sockets\":1024", "\"sockets\":0"));
+        broken.forEach((key, text) -> {
+            assertFalse(text.equals(whole), key);
+            ConfigException refused = assertThrows(ConfigException.class, () -> Config.parse(json(text)), key);
+            assertTrue(refused.getMessage().contains("'" + key + "'"), refused.getMessage());
+        });
+    }
+
     @Test
     void aBrokenFileChangesNothingWhereItServes() throws Exception {
         try (Rig rig = new Rig(FakeHost.serving()).start(); Peer client = rig.client()) {
