Know classes and tenants by names beyond ASCII

Lines are read byte by byte and settings as UTF-8, so a class or tenant with any letter beyond ASCII in its name was unknown, and each of its requests answered with an error. At fault: Site.requestClass and Site.tenant, which compared the two as they are. Names on lines are now read as UTF-8 where they have such a letter; they are passed on byte for byte, as before.

Test: a class and a tenant with such names, over a connection; seen failing without the change (CLIENT_ERROR unknown class).

--- a/node/src/main/java/frostrelay/node/Site.java
+++ b/node/src/main/java/frostrelay/node/Site.java
@@ -2,6 +2,7 @@
 
 import frostrelay.policy.Api;
 import frostrelay.settings.SettingsParser;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -19,6 +20,7 @@
     /** Settings that differ from balancer to balancer. */
     static final List<String> OWN = List.of("my-zone", "rank");
     private static final float[] NO_REPORT = {};
+    private static final char MOST_ASCII = 0x7f;
     private static final long DROPPED_NS = 5 * Clock.SECOND;
 
     final Api.Settings settings;
@@ -133,8 +135,19 @@
         return numbers;
     }
 
+    /** A name in the settings' characters, as read from a line byte by byte; most have none beyond ASCII. */
+    private static String plain(String line) {
+        for (int i = 0; line != null && i < line.length(); i++) {
+            if (line.charAt(i) > MOST_ASCII) {
+                return new String(line.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
+            }
+        }
+        return line;
+    }
+
     /** The number of a request class, or null for a name that the settings do not hold, or no longer. */
-    Integer requestClass(String name) {
+    Integer requestClass(String line) {
+        String name = plain(line);
         Long until = droppedUntil.get(name);
         return until == null || Clock.now() < until ? classes.get(name) : null;
     }
@@ -145,8 +158,8 @@
     }
 
     /** The number of a tenant; where the site has none, every name is tenant 0. */
-    Integer tenant(String name) {
-        return tenants.isEmpty() ? Integer.valueOf(0) : tenants.get(name);
+    Integer tenant(String line) {
+        return tenants.isEmpty() ? Integer.valueOf(0) : tenants.get(plain(line));
     }
 
     /** A zone that the settings do not name gets a number of its own: it is nobody's own zone. */
--- a/node/src/test/java/frostrelay/node/ReloadTest.java
+++ b/node/src/test/java/frostrelay/node/ReloadTest.java
@@ -45,6 +45,22 @@
         }
     }
 
+    /** Lines are read byte by byte, settings as UTF-8: names beyond ASCII were unknown, and all of their requests answered so. */
+    @Test
+    void namesMayHaveAnyLetters() throws Exception {
+        FakeHost host = FakeHost.serving();
+        try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
+            reload(rig, text -> text.replace("\"name\":\"copy\"", "\"name\":\"señal-№1\"")
+                    .replace("\"name\":\"acme\"", "\"name\":\"compañía\""));
+            String command = "ms 1 1 O2 Pc=señal-№1,t=compañía,d=5000\r\nx\r\n";
+            client.write(command.getBytes(StandardCharsets.UTF_8));
+            assertEquals("HD O2 c77", client.line());
+            String sent = new String(host.command().getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
+            assertTrue(sent.startsWith("ms 1 1 O2 Pc=señal-№1,t=compañía,d="), sent);
+            assertEquals("CLIENT_ERROR unknown tenant", client.ask("ms 1 1 O2 Pc=read,t=compania,d=5000\r\nx"));
+        }
+    }
+
     @Test
     void namesKeepTheirNumbersAndWhatTheyStandForChanges() {
         Config running = running(new Rig());
