--- a/node/src/main/java/frostrelay/node/Discovery.java
+++ b/node/src/main/java/frostrelay/node/Discovery.java
@@ -7,7 +7,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -131,7 +130,7 @@
             // Before the connection: a refused one may fail within this very call.
             long patience = whole ? LINE_MS : Math.max(LINE_MS, waitMs() + LATE_MS);
             silence = loop.schedule(this::giveUp, patience, TimeUnit.MILLISECONDS);
-            ChannelFuture up = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                     .handler(new ChannelInitializer<>() {
@@ -140,14 +139,8 @@
                             fresh.pipeline().addLast(new HttpClientCodec(),
                                     new HttpObjectAggregator(MOST_BYTES), Call.this);
                         }
-                    })
-                    .connect(address);
-            channel = up.channel();
-            up.addListener(done -> {
-                if (!done.isSuccess()) {
-                    fail("no connection: " + done.cause().getMessage());
-                }
-            });
+                    });
+            channel = Dial.connect(bootstrap, address, loop, cause -> fail("no connection: " + cause.getMessage()));
         }
 
         @Override
--- a/node/src/main/java/frostrelay/node/HostPool.java
+++ b/node/src/main/java/frostrelay/node/HostPool.java
@@ -62,6 +62,7 @@
     private final Counters counters;
     private int mostLinks;
     private final Listener listener;
+    private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final Map<Long, Host> hosts = new HashMap<>();
     /** All idle connections, the coldest first. */
@@ -77,6 +78,7 @@
         this.counters = counters;
         this.mostLinks = mostLinks;
         this.listener = listener;
+        this.loop = loop;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 2048, MOST_READ));
@@ -261,18 +263,13 @@
             links++;
             host.links++;
             int timeout = (int) Math.max(1, site.get().settings.connectTimeout() / Clock.MILLISECOND);
-            ChannelFuture up = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout).handler(new ChannelInitializer<>() {
+            Bootstrap dial = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout).handler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel fresh) {
                     fresh.pipeline().addLast(decoder, Link.this);
                 }
-            }).connect(host.endpoint);
-            channel = up.channel();
-            up.addListener(done -> {
-                if (!done.isSuccess()) {
-                    lost();
-                }
             });
+            channel = Dial.connect(dial, host.endpoint, loop, cause -> lost());
         }
 
         private void carry(Attempt next) {
--- a/policy/src/test/java/frostrelay/policy/Bed.java
+++ b/policy/src/test/java/frostrelay/policy/Bed.java
@@ -215,6 +215,7 @@
         Api.Group group = Api.Group.ALL;
         List<Api.Tenant> tenants = List.of();
         double overShareWorth = 1;
+        double tip = 4;
         boolean ordered;
         Api.Effect readEffect = Api.Effect.RETRYABLE;
         Api.Effect unsafeEffect = Api.Effect.FRAGILE;
@@ -231,7 +232,7 @@
                             Api.Group.CELL, 0, false, false));
             return new Api.Settings(classes, tenants, 0, rank, instances, aside, aside ? 2 : -1, subscribe,
                     maxAttempts, mayDuplicate, true, connectTimeout, true, 2000 * MS, 250 * MS, 10_000 * MS,
-                    0.2, 10_000 * MS, 4, 1000 * MS, overShareWorth,
+                    0.2, 10_000 * MS, tip, 1000 * MS, overShareWorth,
                     50 * MS, budget, report);
         }
     }
