Hold the forms of discovery's answers by a test: indented, chunked, no length, cut by a reset

Nothing had to be changed: an answer without a length that a reset ends is a failed call however whole it looks, and the last good list stays.

--- a/node/src/test/java/frostrelay/node/DiscoveryTest.java
+++ b/node/src/test/java/frostrelay/node/DiscoveryTest.java
@@ -20,6 +20,9 @@
 
 /** The watch on the list of hosts: from the latest version, and on after every failure. */
 class DiscoveryTest {
+    /** Ends an answer behind which the connection is reset. */
+    private static final String RESET = "<reset>";
+    private static final String NO_LENGTH = "HTTP/1.1 200 OK\r\n\r\n";
     @TempDir
     Path folder;
     /** What the module was told: the mode and how many hosts. */
@@ -39,6 +42,9 @@
                 String answer = answers.poll(Peer.LIMIT_MS, TimeUnit.MILLISECONDS);
                 if (answer == null || answer.isEmpty()) {
                     peer.reset();
+                } else if (answer.endsWith(RESET)) {
+                    peer.write(answer.substring(0, answer.length() - RESET.length()));
+                    peer.reset();
                 } else {
                     peer.write(answer);
                 }
@@ -107,6 +113,34 @@
         }
     }
 
+    /** Lists may be indented, without a length, in chunks, whole in place of changes; cut by a reset they are none, however whole they look. */
+    @Test
+    void anAnswerMayHaveAnyFormAndAResetIsNoEnd() throws Exception {
+        String host = Rig.target("s-9", "127.0.0.1:9", "Ready");
+        String indented = "{\n  \"rev\" : 41,\n  \"all\" : true,\n  \"targets\" : [\n    " + host.replace(",", ",\n      ") + "\n  ]\n}\n";
+        String whole = "{\"rev\":42,\"all\":true,\"targets\":[" + host + "," + host + "]}";
+        String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(20) + "\r\n" + whole.substring(0, 20)
+                + "\r\n" + Integer.toHexString(whole.length() - 20) + "\r\n" + whole.substring(20) + "\r\n";
+        try (FakeHost discovery = discovery(); Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = discovery.endpoint();
+            rig.module = (settings, seed, actions) -> recording(actions);
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            answers.add(NO_LENGTH + indented);
+            assertEquals("FULL 1", next(told));
+            awaitCall("since=41");
+            for (String cut : List.of(NO_LENGTH + whole + RESET, NO_LENGTH + whole.substring(0, 30) + RESET, chunked + RESET,
+                    NO_LENGTH + whole.substring(0, 30), chunked.substring(0, 70))) {
+                answers.add(cut);
+                assertEquals("FAILED 0", next(told), cut);
+                awaitCall("since=41");
+            }
+            answers.add(chunked + "0\r\n\r\n");
+            assertEquals("FULL 2", next(told));
+            awaitCall("since=42");
+        }
+    }
+
     /**
      * Operators restart what they take out, so discovery may call it gone just before their call comes in: it was told no, and the
      * host was used as soon as it was back, 23 times on one of the operators' days.
