--- a/cli/src/test/java/frostrelay/cli/CommandLineTest.java
+++ b/cli/src/test/java/frostrelay/cli/CommandLineTest.java
@@ -48,6 +48,13 @@
         }
     }
 
+    @Test
+    void theVersionIsThatOfTheBuildAndOfTheLastChangeListed() throws Exception {
+        String version = run("--version").out.strip().replace("frostrelay ", "");
+        assertTrue(Files.readString(Path.of("../pom.xml")).contains("<version>" + version + "</version>"), version);
+        assertTrue(Files.readString(Path.of("../CHANGELOG.md")).startsWith("# Changelog\n\n## " + version + "\n"), version);
+    }
+
     @Test
     void wrongUsageIsTwoAndHelpIsZero() {
         assertEquals(2, run().status);
