Play watches that fall silent among several processes, and count news as told when it binds

The rig's discovery told only what it had written: a balancer that never asked again was never called to account.

FleetTest plays four real processes on it: drains behind silent watches.

--- a/rig/src/main/java/frostrelay/rig/day/FaultKind.java
+++ b/rig/src/main/java/frostrelay/rig/day/FaultKind.java
@@ -11,6 +11,7 @@
     LINK_CUT("link-cut", Meets.CACHE, false), LINK_NARROW("link-narrow", Meets.CACHE, true),
     ARCHIVE_SLOW("archive-slow", Meets.NOBODY, true), ARCHIVE_OUTAGE("archive-outage", Meets.NOBODY, false),
     DISCOVERY_OUTAGE("discovery-outage", Meets.NOBODY, false), DISCOVERY_LATE("discovery-late", Meets.NOBODY, false),
+    WATCH_SILENT("watch-silent", Meets.NOBODY, false),
     BALANCER_KILL("balancer-kill", Meets.BALANCER, false), BALANCER_RESTART("balancer-restart", Meets.BALANCER, false),
     RELOAD("reload", Meets.BALANCER, false), SURGE("surge", Meets.NOBODY, true);
 
--- a/rig/src/main/java/frostrelay/rig/discovery/DiscoveryServer.java
+++ b/rig/src/main/java/frostrelay/rig/discovery/DiscoveryServer.java
@@ -42,7 +42,12 @@
  */
 public final class DiscoveryServer {
     private static final int MOST_REQUEST = 8 * 1024;
+    private static final long RETRY_MS = 100;
     private static final long MOST_WAIT_MS = 60_000;
+    /** So long after discovery had it and could be reached a change counts as told, whether a balancer asked or not. */
+    private static final long COUNTS_AS_TOLD = 6_000_000_000L;
+    /** What a watch that fell silent missed counts no sooner than this behind the end of its wait. */
+    private static final long BEHIND_WAIT = 2_000_000_000L;
 
     /** A change as it was entered, visible from its version on. */
     private record Entry(long rev, Member member) {
@@ -56,6 +61,16 @@
         long late;
         boolean cut;
         boolean pinned;
+        /** The newest version that was written to it. */
+        long told;
+        /** Since when nothing keeps it from the newest list. */
+        long reachableSince = System.nanoTime();
+        /** Until then it need not know what a watch that fell silent missed. */
+        long silentUntil = System.nanoTime();
+
+        boolean isHindered() {
+            return cut || pinned || late > 0;
+        }
 
         Caller(String balancer, Map<String, String> endpoints, long seen) {
             this.balancer = balancer;
@@ -109,10 +124,37 @@
                 } else {
                     see(caller, fresh);
                 }
+                loop.schedule(() -> countAsTold(caller, fresh, member), COUNTS_AS_TOLD, TimeUnit.NANOSECONDS);
             }
         }, lateness, TimeUnit.NANOSECONDS));
     }
 
+    /** What a balancer could have asked for by now binds it as though it had been told, unless that has changed again. */
+    private void countAsTold(Caller caller, long fresh, Member member) {
+        List<Entry> history = entries.get(member.uid());
+        if (caller.told >= fresh || history.get(history.size() - 1).rev != fresh) {
+            return;
+        }
+        long now = System.nanoTime();
+        long left = Math.max(caller.reachableSince + COUNTS_AS_TOLD, caller.silentUntil) - now;
+        if (down || caller.isHindered() || left > 0) {
+            loop.schedule(() -> countAsTold(caller, fresh, member), Math.max(left, RETRY_MS * 1_000_000), TimeUnit.NANOSECONDS);
+        } else {
+            referee.told(now, caller.balancer, member.uid(), member.state() == Member.State.READY);
+        }
+    }
+
+    /**
+     * All open watches fall silent: their connections stay open, and nothing comes on them any more. What they miss binds
+     * after {@code within} nanoseconds; if that is 0, by the operators' page: 6 s, or 2 s behind the wait if that is later.
+     */
+    public void silenceWatches(long within) {
+        loop.execute(() -> {
+            watches.forEach(watch -> watch.fallSilent(within));
+            watches.clear();
+        });
+    }
+
     private void enter(Member member) {
         entries.computeIfAbsent(member.uid(), uid -> new ArrayList<>()).add(new Entry(rev, member));
     }
@@ -147,6 +189,7 @@
         loop.execute(() -> {
             Caller caller = callers.get(balancer);
             caller.cut = on;
+            caller.reachableSince = System.nanoTime();
             if (on) {
                 List.copyOf(watches).stream().filter(watch -> watch.caller == caller)
                         .forEach(watch -> watch.channel.close());
@@ -159,6 +202,7 @@
         loop.execute(() -> {
             Caller caller = callers.get(balancer);
             caller.late = time;
+            caller.reachableSince = System.nanoTime();
             if (time == 0) {
                 see(caller, rev);
             }
@@ -170,6 +214,7 @@
         loop.execute(() -> {
             Caller caller = callers.get(balancer);
             caller.pinned = on;
+            caller.reachableSince = System.nanoTime();
             if (!on) {
                 see(caller, rev);
             }
@@ -190,6 +235,7 @@
     public void outage(boolean on) {
         loop.execute(() -> {
             down = on;
+            callers.values().forEach(caller -> caller.reachableSince = System.nanoTime());
             if (on) {
                 List.copyOf(watches).forEach(watch -> watch.channel.close());
             }
@@ -242,6 +288,7 @@
     private void answer(Channel channel, Caller caller, boolean all, List<Member> members) {
         long now = System.nanoTime();
         referee.watcher().told(now, caller.balancer, caller.seen);
+        caller.told = caller.seen;
         try {
             byte[] body = JSON.std.asString(json(all, caller.seen, members, caller.endpoints))
                     .getBytes(StandardCharsets.UTF_8);
@@ -273,6 +320,7 @@
         private final Caller caller;
         private final long known;
         private Future<?> limit;
+        private long until;
 
         Watch(Channel channel, Caller caller, long known) {
             this.channel = channel;
@@ -282,6 +330,7 @@
 
         void begin(long waitMs) {
             watches.add(this);
+            until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
             limit = loop.schedule(this::news, waitMs, TimeUnit.MILLISECONDS);
             channel.closeFuture().addListener(closed -> end());
             if (caller.seen > known) {
@@ -294,6 +343,12 @@
             answer(channel, caller, false, since(known, caller.seen));
         }
 
+        void fallSilent(long within) {
+            limit.cancel(false);
+            long now = System.nanoTime();
+            caller.silentUntil = within > 0 ? now + within : Math.max(until + BEHIND_WAIT, now + COUNTS_AS_TOLD);
+        }
+
         private void end() {
             watches.remove(this);
             limit.cancel(false);
--- a/rig/src/main/java/frostrelay/rig/fleet/Faults.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/Faults.java
@@ -129,6 +129,11 @@
             }
             case DISCOVERY_OUTAGE -> fleet.discovery().outage(on);
             case DISCOVERY_LATE -> fleet.discovery().late(on ? fault.amount() : fleet.day().lateness());
+            case WATCH_SILENT -> {
+                if (on) {
+                    fleet.discovery().silenceWatches(fault.amount());
+                }
+            }
             case BALANCER_KILL, BALANCER_RESTART, RELOAD -> balancer(fault, place, on);
             default -> {
                 if (load != null) {
--- a/rig/src/test/java/frostrelay/rig/fleet/FleetTest.java
+++ b/rig/src/test/java/frostrelay/rig/fleet/FleetTest.java
@@ -49,6 +49,18 @@
         return "[[fault]]\nat = \"" + at + "\"\nkind = \"" + kind + "\"\n" + rest;
     }
 
+    /** What four balancers miss on watches that fell silent binds them 6 s later: by then each has asked anew. */
+    @Test
+    void drainsBehindSilentWatchesAreHeededInTime() throws Exception {
+        Day day = DayFile.parse("day.toml", DAY.replace("length = \"7s\"", "length = \"10s\"").replace("balancers = 2", "balancers = 4")
+                + fault("1500ms", "watch-silent", "amount = \"6s\"\n")
+                + fault("1700ms", "drain", "target = \"cache-3\"\nfor = \"9s\"\n"));
+        List<String> lines = new ArrayList<>();
+        Result result = DayPlay.play(day, folder, Program.ofClassPath(), lines::add);
+        assertEquals(0, result.referee().count(), result.referee().breaches().toString());
+        assertTrue(result.tally().asked() > 2_000);
+    }
+
     @Test
     void everyRuleIsKeptThroughEveryFault() throws Exception {
         Day day = DayFile.parse("day.toml", DAY
