Pass over an answer that comes again behind the next command on its connection

While the connection stood idle any byte ended it; but where the next command had begun on it, the late copy was judged as that one's answer, did not match its id, and the attempt failed as one that may have run: a write that must never run twice was told failed for another's answer. At fault: HostPool.Link.take. The id of the answer before is kept, and that answer is passed over once, unless the command on the connection goes by the same id; long values are excepted, as their pieces cannot be told apart.

Test: a host that says each answer once more in front of the next; seen failing without the change (SERVER_ERROR failed).

--- a/node/src/main/java/frostrelay/node/HostPool.java
+++ b/node/src/main/java/frostrelay/node/HostPool.java
@@ -248,6 +248,8 @@
         private long idleSince;
         /** The long value that is coming in; its attempt has ended. */
         private ValueStream value;
+        /** Whose answer came on it last; null if that was none, or has come twice. */
+        private String answeredId;
         /** Its answer has come and the read that brought it is not over. */
         private boolean answered;
         private boolean counted;
@@ -363,6 +365,9 @@
                 retire();
                 return;
             }
+            if (isSecond(answer)) {
+                return;
+            }
             Reason reason = judge(attempt.exchange.ask, answer);
             boolean garbage = reason == null;
             if (garbage) {
@@ -390,6 +395,21 @@
             }
         }
 
+        /**
+         * Whether this is the answer before once more, come late: guards against a write that fails, and may not be repeated,
+         * for what another request was answered twice. Only once, and never for a request that goes by the same id.
+         */
+        private boolean isSecond(MetaFrame answer) {
+            String id = answer.streamed() ? null : opaque(answer);
+            boolean second = id != null && id.equals(answeredId) && !id.equals(attempt.exchange.ask.id());
+            answeredId = second ? null : answeredId;
+            return second;
+        }
+
+        private static String opaque(MetaFrame answer) {
+            return answer.flag(answer.is(0, "VA") ? 2 : 1, 'O');
+        }
+
         /** What an answer means; null for what the protocol does not allow. */
         private static Reason judge(Ask ask, MetaFrame answer) {
             if (answer.fault() != null) {
@@ -398,16 +418,15 @@
             if (answer.is(0, "SERVER_ERROR")) {
                 return answer.is(1, "busy") ? Reason.REJECTED : answer.is(1, "failed") ? Reason.ERROR : null;
             }
-            int flags = answer.is(0, "VA") ? 2 : 1;
-            boolean kind = ask.write() ? answer.is(0, "HD") && answer.flag(flags, 'c') != null
-                    : answer.is(0, "VA");
-            return kind && ask.id().equals(answer.flag(flags, 'O')) ? Reason.OK : null;
+            boolean kind = ask.write() ? answer.is(0, "HD") && answer.receipt() != null : answer.is(0, "VA");
+            return kind && ask.id().equals(opaque(answer)) ? Reason.OK : null;
         }
 
         private void finish(Reason reason, MetaFrame answer, boolean close) {
             Attempt ended = attempt;
             release();
             sent = null;
+            answeredId = reason == Reason.OK ? ended.exchange.ask.id() : null;
             if (!close && answer.streamed()) {
                 value = new ValueStream(this);
             } else {
--- a/node/src/test/java/frostrelay/node/ServingTest.java
+++ b/node/src/test/java/frostrelay/node/ServingTest.java
@@ -188,6 +188,28 @@
     }
 
     /** Bytes on an idle connection, here without the end of a line, retire it before it is used again. */
+    /** A second answer may come milliseconds late: behind the next command it failed that one, which may not run twice. */
+    @Test
+    void anAnswerThatComesAgainBehindTheNextCommandSpoilsItNot() throws Exception {
+        FakeHost[] host = new FakeHost[1];
+        host[0] = new FakeHost(peer -> {
+            String before = "";
+            for (String command = host[0].next(peer); command != null; command = host[0].next(peer)) {
+                String answer = FakeHost.served(command);
+                peer.write(before + answer);
+                before = answer;
+            }
+        });
+        try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
+            for (int i = 0; i < 5; i++) {
+                assertEquals("HD Ow" + i + " c77", client.ask(Rig.COPY.replace("O2", "Ow" + i)));
+                assertEquals("VA 16 Or" + i, client.ask(Rig.READ.replace("O1", "Or" + i)));
+                assertEquals("7f3a9c21e0b4d655", client.data(16));
+            }
+            assertEquals(1, host[0].connections.get());
+        }
+    }
+
     @Test
     void anyByteOnAnIdleConnectionEndsIt() throws Exception {
         FakeHost[] host = new FakeHost[1];
