Refuse what was never sent also where the last call comes before the cut

Cause found by reading: the two timers of a request are each set by the time that was read some lines before, so a process that is held up in between has the cut due behind the last call. Balancer.settle then ended what was never sent as cancelled, which may have run; the module heard that before settle answered, and answered failed.

Now settle tells what never left as not sent. Test: a witness that takes 20 ms between the two timers, and a backend on which nothing comes up; fails every time without the change (failed for refused).

--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -492,7 +492,8 @@
     private void settle(Exchange exchange) {
         boolean mayRun = exchange.mayHaveRun || exchange.attempts.stream().anyMatch(Attempt::written);
         for (Attempt attempt : List.copyOf(exchange.attempts)) {
-            drop(attempt, Reason.CANCELLED);
+            // The module hears of it, and may answer by it: what never left is told as such.
+            drop(attempt, attempt.written() ? Reason.CANCELLED : Reason.MOOT);
         }
         if (!exchange.over) {
             if (mayRun) {
--- a/node/src/test/java/frostrelay/node/OrderTest.java
+++ b/node/src/test/java/frostrelay/node/OrderTest.java
@@ -7,7 +7,15 @@
 
 import frostrelay.policy.Api;
 import frostrelay.policy.Api.Reason;
+import frostrelay.lifecycle.SharedFolder;
+import frostrelay.lifecycle.Usage;
+import frostrelay.policy.Router;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -217,4 +225,100 @@
             assertEquals("SERVER_ERROR busy", client.ask("mg 1 v O1 Pc=read,t=acme,d=60"));
         }
     }
+
+    /** Holds all that it is to send: no connection ever comes up. */
+    private static final class NeverUp implements Backend {
+        @Override
+        public void update(Api.ListMode mode, List<Catalog.Member> members) {
+        }
+
+        @Override
+        public void hold(Set<Long> servers) {
+        }
+
+        @Override
+        public boolean knows(long server) {
+            return false;
+        }
+
+        @Override
+        public void send(Attempt attempt, long server) {
+        }
+
+        @Override
+        public void abandon(Attempt attempt) {
+        }
+
+        @Override
+        public void closeIdle(long server) {
+        }
+
+        @Override
+        public void limit(int most) {
+        }
+
+        @Override
+        public void sweep() {
+        }
+
+        @Override
+        public int links() {
+            return 0;
+        }
+
+        @Override
+        public void gauges(Map<String, Object> into) {
+        }
+    }
+
+    /**
+     * Where the loop was late between two timers of a request, its last call came before the cut of what was never sent: told as
+     * cancelled, that may have run, and a write was told failed for the module's answer that came first.
+     */
+    @Test
+    void whatNeverLeftIsRefusedAlsoWhereTheLastCallComesBeforeTheCut() throws Exception {
+        Rig rig = new Rig();
+        rig.extraTargets.add(Rig.target("s-1", "127.0.0.1:1", "Ready"));
+        Config config = Config.parse(Json.parse(rig.config("127.0.0.1:0").getBytes(StandardCharsets.UTF_8)));
+        // Asked between the two: the cut is set later than it was meant by as much as this takes.
+        Witness slow = new Witness() {
+            @Override
+            public int sequence() {
+                for (long end = Clock.now() + 20 * MS; Clock.now() < end; ) {
+                    Thread.onSpinWait();
+                }
+                return 0;
+            }
+        };
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        EventLoop loop = group.next();
+        BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        Exchange.Client client = new Exchange.Client() {
+            @Override
+            public void served(Reply reply, ValueStream value) {
+                answers.add("served");
+            }
+
+            @Override
+            public void refused(long retryAfterMs) {
+                answers.add("refused");
+            }
+
+            @Override
+            public void failed() {
+                answers.add("failed");
+            }
+        };
+        try {
+            Command command = new Command(MetaFrame.of(List.of("ms", "1", "1", "O1", "Pc=copy,t=acme,d=100"), new byte[] {'x'}),
+                    config.site());
+            loop.submit(() -> new Balancer(config, loop, new Counters(), Router::new, (site, listener) -> new NeverUp(),
+                    new Budget(1_000), new SharedFolder.Look(Set.of(), Set.of(), 0, new Usage(0, 0)), slow)
+                    .take(command, client)).get();
+            assertEquals("refused", answers.poll(Peer.LIMIT_MS, TimeUnit.MILLISECONDS));
+            assertNull(answers.poll(100, TimeUnit.MILLISECONDS), "one answer");
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+    }
 }
