Count refusals, closes and repeats by their reasons, and tell a shutdown's progress

Cause: the incident's logs could not say which requests were open near the kill, why connections were closed, or why requests were refused or sent again.

Change: the counts have refusals, closes and repeats by reason, in place of four single figures. During a shutdown a line each half second names the first open requests and the time that is left for each. At level debug each request's changes and each close are lines of their own, under the request's id.

--- a/node/src/main/java/frostrelay/log/Event.java
+++ b/node/src/main/java/frostrelay/log/Event.java
@@ -11,6 +11,10 @@
     SERVES(Level.INFO, "Clients are taken from now on.", "listen", "console"),
     CANNOT_START(Level.ERROR, "It ends with 1.", "reason"),
     STOPS(Level.INFO, "SIGTERM came: what is open is answered, nothing new is waited for.", "replaced"),
+    SHUTDOWN_PROGRESS(Level.INFO, "How far a shutdown is: connections of clients, and the first open requests with the milliseconds"
+            + " that are left to answer each.", "elapsed-ms", "clients", "open", "requests"),
+    REQUEST(Level.DEBUG, "A request changed its state.", "id", "state", "detail"),
+    CLIENT_CLOSED(Level.DEBUG, "A client's connection ended.", "client", "reason", "unanswered"),
     STOPPED_SHORT(Level.ERROR, "The orderly stop failed; the process ends all the same.", "reason"),
     SIGNAL_IGNORED(Level.WARN, "It was started where SIGHUP is ignored, as under nohup: a replaced configuration is"
             + " found by looking at the file instead.", "signal", "look-ms"),
--- a/node/src/main/java/frostrelay/log/Log.java
+++ b/node/src/main/java/frostrelay/log/Log.java
@@ -12,6 +12,11 @@
     private Log() {
     }
 
+    /** Whether lines of this event are written at present: what is costly to put into words need not be. */
+    public static boolean isEnabled(Event event) {
+        return LOGGER.isEnabledForLevel(event.level);
+    }
+
     /** One line: the values of the event's fields, in their order. A null stands for nothing to say. */
     public static void write(Event event, Object... values) {
         if (values.length != event.fields.size()) {
--- a/node/src/main/java/frostrelay/node/Attempt.java
+++ b/node/src/main/java/frostrelay/node/Attempt.java
@@ -1,5 +1,6 @@
 package frostrelay.node;
 
+import frostrelay.policy.Api.Reason;
 import io.netty.util.concurrent.Future;
 
 /** One send of a request to a cache host; numbered by its place among the request's sends. */
@@ -14,6 +15,8 @@
     final int under;
     /** Set once, with the attempt's one outcome. */
     boolean over;
+    /** That outcome; null before. */
+    Reason ended;
     /** Whether it went out whole. */
     boolean sent;
     /** Ends the wait at {@link #cutAt}. */
--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -4,12 +4,15 @@
 import frostrelay.policy.Api.Reason;
 import frostrelay.judgements.Seen;
 import frostrelay.lifecycle.SharedFolder;
+import frostrelay.log.Event;
+import frostrelay.log.Log;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -50,17 +53,17 @@
      * What the module is to be told. The frequent ones are classes of their own: without the second compiler, which this
      * program does not load, a lambda that holds something is made through a slow call into the JVM each time.
      */
-    private abstract static class Event {
+    private abstract static class ModuleEvent {
         final Exchange exchange;
 
-        Event(Exchange exchange) {
+        ModuleEvent(Exchange exchange) {
             this.exchange = exchange;
         }
 
         abstract void tell();
     }
 
-    private static final class Rare extends Event {
+    private static final class Rare extends ModuleEvent {
         private final Runnable action;
 
         Rare(Exchange exchange, Runnable action) {
@@ -74,7 +77,7 @@
         }
     }
 
-    private final class Asked extends Event {
+    private final class Asked extends ModuleEvent {
         Asked(Exchange exchange) {
             super(exchange);
         }
@@ -91,7 +94,7 @@
         }
     }
 
-    private final class Ended extends Event {
+    private final class Ended extends ModuleEvent {
         private final Attempt attempt;
         private final Reason reason;
         private final Reply answer;
@@ -111,6 +114,7 @@
             if (reason == Reason.OK && close(exchange)) {
                 exchange.winner = attempt.number;
                 counters.served++;
+                trace(exchange, "served", attempt.number);
                 exchange.client.served(answer, value);
             } else if (value != null) {
                 value.cancel();
@@ -144,7 +148,7 @@
         }
     }
 
-    private final class Timer extends Event implements Runnable {
+    private final class Timer extends ModuleEvent implements Runnable {
         private final long moment;
         private final int token;
 
@@ -209,7 +213,7 @@
     private final Set<String> openIds = new HashSet<>();
     private final Budget budget;
     private final Witness witness;
-    private final Queue<Event> events = new ArrayDeque<>();
+    private final Queue<ModuleEvent> events = new ArrayDeque<>();
     private Set<Long> held = Set.of();
     private Set<Long> heldElsewhere = Set.of();
     private Set<Long> avoided = Set.of();
@@ -267,10 +271,14 @@
         long deadline = now + ask.waitMs() * Clock.MILLISECOND - WAYS;
         Exchange exchange = new Exchange(++lastId, ask, deadline, client);
         counters.taken++;
+        trace(exchange, "taken", ask.waitMs());
         // Running out of room is told to the client: a refusal of what never went out does no harm.
-        if (open() >= site().maxOpen || !budget.take(ask.bytes())) {
-            counters.localRefusals++;
-            answerRefused(exchange, 0);
+        if (open() >= site().maxOpen) {
+            answerRefused(exchange, RefusalReason.TOO_MANY_OPEN, 0);
+            return exchange;
+        }
+        if (!budget.take(ask.bytes())) {
+            answerRefused(exchange, RefusalReason.NO_MEMORY, 0);
             return exchange;
         }
         exchanges.put(exchange.id, exchange);
@@ -285,10 +293,17 @@
         return exchange;
     }
 
+    private static void trace(Exchange exchange, String state, Object detail) {
+        if (Log.isEnabled(Event.REQUEST)) {
+            Log.write(Event.REQUEST, exchange.ask.id(), state, detail);
+        }
+    }
+
     /** The client of an open request has closed its connection: nothing is owed any more. */
     void clientGone(Exchange exchange) {
         if (close(exchange)) {
             counters.clientsGone++;
+            trace(exchange, "client-gone", null);
             post(exchange, () -> router.onClientGone(Clock.now(), exchange.id));
         }
     }
@@ -327,6 +342,7 @@
             copy |= !attempt.exchange.attempts.get(i).over;
         }
         attempt.sent = true;
+        trace(attempt.exchange, "attempt-written", attempt.number);
         witness.onWrite(attempt.under, host, attempt.number, copy, attempt.exchange.ask);
     }
 
@@ -357,6 +373,18 @@
         return openIds.size();
     }
 
+    /** The first open requests, each by its id and the milliseconds that are left to answer it. */
+    Map<String, Object> openRequests(int most) {
+        long now = Clock.now();
+        Map<String, Object> open = new LinkedHashMap<>();
+        for (Exchange exchange : exchanges.values()) {
+            if (!exchange.over && open.size() < most) {
+                open.put(exchange.ask.id(), (exchange.deadline - now) / Clock.MILLISECOND);
+            }
+        }
+        return open;
+    }
+
     /** Connections to hosts. */
     int links() {
         return pool.links();
@@ -452,14 +480,14 @@
         post(new Rare(exchange, action));
     }
 
-    private void post(Event added) {
+    private void post(ModuleEvent added) {
         events.add(added);
         if (inModule) {
             return;
         }
         inModule = true;
         try {
-            for (Event event = events.poll(); event != null; event = events.poll()) {
+            for (ModuleEvent event = events.poll(); event != null; event = events.poll()) {
                 deliver(event);
             }
         } finally {
@@ -467,7 +495,7 @@
         }
     }
 
-    private void deliver(Event event) {
+    private void deliver(ModuleEvent event) {
         try {
             event.tell();
         } catch (RuntimeException e) {
@@ -499,7 +527,7 @@
             if (mayRun) {
                 answerFailed(exchange);
             } else {
-                answerRefused(exchange, 0);
+                answerRefused(exchange, RefusalReason.NEVER_SENT, 0);
             }
             post(exchange, () -> router.onClientGone(Clock.now(), exchange.id));
         }
@@ -521,6 +549,8 @@
             return;
         }
         attempt.over = true;
+        attempt.ended = reason;
+        trace(attempt.exchange, "attempt-ended", reason);
         if (attempt.cut != null) {
             attempt.cut.cancel(false);
         }
@@ -530,8 +560,9 @@
         post(new Ended(attempt, reason, answer, value));
     }
 
-    private void answerRefused(Exchange exchange, long retryAfterMs) {
-        counters.refused++;
+    private void answerRefused(Exchange exchange, RefusalReason reason, long retryAfterMs) {
+        counters.refused(reason);
+        trace(exchange, "refused", reason);
         witness.onRefused();
         if (close(exchange)) {
             exchange.client.refused(retryAfterMs);
@@ -540,6 +571,7 @@
 
     private void answerFailed(Exchange exchange) {
         counters.failed++;
+        trace(exchange, "failed", null);
         witness.onFailed();
         if (close(exchange)) {
             exchange.client.failed();
@@ -569,6 +601,9 @@
         long now = Clock.now();
         long cut = cutAt <= 0 ? exchange.deadline : Math.min(cutAt, exchange.deadline);
         Attempt attempt = new Attempt(exchange, exchange.attempts.size(), server, now, cut, witness.sequence());
+        if (attempt.number > 0) {
+            counters.repeated(exchange.attempts.get(attempt.number - 1).ended);
+        }
         exchange.attempts.add(attempt);
         exchange.pending++;
         boolean tooMany = exchange.attempts.size() > site().settings.maxAttempts();
@@ -596,7 +631,7 @@
         if (exchange != null && !exchange.over) {
             Api.Settings settings = site().settings;
             long most = settings.retryAfter() ? Math.min(retryAfter, settings.maxRetryAfter()) : 0;
-            answerRefused(exchange, (most + Clock.MILLISECOND - 1) / Clock.MILLISECOND);
+            answerRefused(exchange, RefusalReason.DECIDED, (most + Clock.MILLISECOND - 1) / Clock.MILLISECOND);
         }
     }
 
--- a/node/src/main/java/frostrelay/node/ClientServer.java
+++ b/node/src/main/java/frostrelay/node/ClientServer.java
@@ -1,6 +1,8 @@
 package frostrelay.node;
 
 import frostrelay.lifecycle.Departure;
+import frostrelay.log.Event;
+import frostrelay.log.Log;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -189,7 +191,6 @@
         if (Clock.now() - evicted.since < leastNs) {
             return false;
         }
-        counters.evicted++;
         evicted.drop();
         return true;
     }
@@ -316,6 +317,7 @@
             // Short of its length, and behind the end of the connection: the client can tell.
             value = null;
             counters.cutShort++;
+            connection.closeReason = CloseReason.VALUE_BROKEN;
             connection.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         }
 
@@ -349,6 +351,8 @@
         /** The output has ended; only the client's end is waited for. */
         private boolean shut;
         private boolean gone;
+        /** Why this end closes the connection; null while it does not. */
+        private CloseReason closeReason;
         /** Commands are being begun: answers wait until that is done. */
         private boolean reading;
         /** The task that begins commands is due. */
@@ -365,7 +369,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             if (connections.size() >= mostClients + mostSurplus && !evict(farewells, 0)) {
-                counters.turnedAway++;
+                counters.closed(CloseReason.TURNED_AWAY);
                 gone = true;
                 ctx.close();
                 return;
@@ -408,16 +412,34 @@
         private void drop() {
             beBusy();
             connections.remove(this);
+            close(CloseReason.EVICTED);
+        }
+
+        private void close(CloseReason reason) {
+            closeReason = closeReason == null ? reason : closeReason;
             channel.close();
         }
 
+        /** Nothing more is begun; the connection ends behind the answers that are owed on it. */
+        private void endBehindAnswers(CloseReason reason) {
+            quitting = true;
+            closeReason = closeReason == null ? reason : closeReason;
+        }
+
+        private CloseReason unwelcomeReason() {
+            if (departure == null) {
+                return CloseReason.SURPLUS;
+            }
+            return departure.drain() ? CloseReason.DRAINING : CloseReason.SHUTTING_DOWN;
+        }
+
         void checkTime(long now) {
             if (!slots.isEmpty() && slots.peek().isStalled(now)) {
                 counters.cutShort++;
-                channel.close();
+                close(CloseReason.VALUE_STALLED);
             } else if (departure != null && isDone() && !leaving && (spoke || now - since >= NEWCOMER_NS)
                     && now >= (halfSince == 0 ? departure.idleUntil() : departure.serveUntil())) {
-                quit();
+                quit(unwelcomeReason());
             } else if (leaving) {
                 if (now - since > (shut ? LINGER_NS : FAREWELL_NS)) {
                     channel.close();
@@ -425,17 +447,15 @@
             } else if (isDone()) {
                 boolean late = !spoke && now - since > COMMAND_NS || halfSince != 0 && now - halfSince > COMMAND_NS;
                 if (late) {
-                    counters.timedOut++;
-                    quit();
+                    quit(CloseReason.INCOMPLETE_COMMAND);
                 } else if (now - since > IDLE_NS) {
-                    counters.retired++;
-                    quit();
+                    quit(CloseReason.IDLE);
                 }
             }
         }
 
-        private void quit() {
-            quitting = true;
+        private void quit(CloseReason reason) {
+            endBehindAnswers(reason);
             adjust();
         }
 
@@ -522,7 +542,9 @@
         private void fault(Slot slot, String answer, boolean last) {
             counters.malformed++;
             faults++;
-            quitting = last || faults >= MOST_FAULTS;
+            if (last || faults >= MOST_FAULTS) {
+                endBehindAnswers(CloseReason.PROTOCOL_FAULT);
+            }
             pauseReading(PENALTY_MS);
             slot.answer(answer + "\r\n", null);
         }
@@ -537,7 +559,7 @@
                 }
                 case "quit" -> {
                     slots.remove(slot);
-                    quitting = true;
+                    endBehindAnswers(CloseReason.CLIENT_QUIT);
                 }
                 default -> fault(slot, "ERROR", false);
             }
@@ -545,7 +567,7 @@
 
         private void request(Slot slot, MetaFrame frame) {
             if (surplus || departure != null && Clock.now() >= departure.serveUntil()) {
-                counters.localRefusals++;
+                counters.refused(surplus ? RefusalReason.NO_CONNECTION_ROOM : RefusalReason.NOT_ACCEPTING);
                 slot.answer("SERVER_ERROR busy\r\n", null);
                 return;
             }
@@ -580,11 +602,17 @@
             if (wrote) {
                 channel.flush();
                 // Its client has just been answered: nothing is on the way that a close could cross.
-                quitting |= isUnwelcome() && isDone();
+                endIfUnwelcome();
             }
             adjust();
         }
 
+        private void endIfUnwelcome() {
+            if (isUnwelcome() && isDone()) {
+                endBehindAnswers(unwelcomeReason());
+            }
+        }
+
         private void write(Slot slot) {
             int bytes = slot.answer.readableBytes();
             channel.write(slot.answer).addListener(new Taken(bytes));
@@ -594,7 +622,7 @@
         private void passed(Slot slot) {
             slots.remove(slot);
             channel.flush();
-            quitting |= isUnwelcome() && isDone();
+            endIfUnwelcome();
             if (reading) {
                 return;
             }
@@ -614,7 +642,7 @@
                 leave();
             } else if (unread > MOST_UNREAD && !channel.isWritable()) {
                 // A client that does not read its answers must not take the memory of the others.
-                channel.close();
+                close(CloseReason.ANSWERS_UNREAD);
                 return;
             } else if (isDone() && !leaving) {
                 beIdle();
@@ -655,6 +683,9 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            if (!gone) {
+                tellClose();
+            }
             gone = true;
             connections.remove(this);
             beBusy();
@@ -676,12 +707,20 @@
             slots.clear();
         }
 
+        private void tellClose() {
+            CloseReason reason = closeReason == null ? CloseReason.CLIENT_CLOSED : closeReason;
+            counters.closed(reason);
+            if (Log.isEnabled(Event.CLIENT_CLOSED)) {
+                Log.write(Event.CLIENT_CLOSED, channel.remoteAddress(), reason, slots.size());
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof java.io.IOException)) {
                 counters.unexpected("on a client's connection", cause);
             }
-            ctx.close();
+            close(CloseReason.CONNECTION_ERROR);
         }
     }
 }
--- /dev/null
+++ b/node/src/main/java/frostrelay/node/CloseReason.java
@@ -0,0 +1,33 @@
+package frostrelay.node;
+
+/** Why a client's connection ended. */
+enum CloseReason {
+    /** The client closed or reset it. */
+    CLIENT_CLOSED,
+    /** The client sent {@code quit}. */
+    CLIENT_QUIT,
+    /** This process ends. */
+    SHUTTING_DOWN,
+    /** Operators drain this balancer. */
+    DRAINING,
+    /** It was closed to make room for another connection. */
+    EVICTED,
+    /** It came while there was no room for it, was refused, and ended. */
+    SURPLUS,
+    /** It came while there was not even room to refuse it. */
+    TURNED_AWAY,
+    /** Nothing was asked on it for too long. */
+    IDLE,
+    /** No command came in time, or one that had begun was not completed. */
+    INCOMPLETE_COMMAND,
+    /** The client broke the protocol too often, or in a way that hides where the next command begins. */
+    PROTOCOL_FAULT,
+    /** The client leaves too many answers unread. */
+    ANSWERS_UNREAD,
+    /** A long value moved neither at the client nor at the cache for too long. */
+    VALUE_STALLED,
+    /** The cache ended a long value too early; only a close tells the client so. */
+    VALUE_BROKEN,
+    /** Reading or writing failed. */
+    CONNECTION_ERROR
+}
--- a/node/src/main/java/frostrelay/node/Counters.java
+++ b/node/src/main/java/frostrelay/node/Counters.java
@@ -19,9 +19,12 @@
     /** Twice a large tier: every balancer of it may go and come back between two prints. */
     private static final int MOST_STATES = 200;
     private final long[] outcomes = new long[Reason.values().length];
+    private final long[] refusals = new long[RefusalReason.values().length];
+    private final long[] closes = new long[CloseReason.values().length];
+    /** Further attempts, by how the one before them ended; the last place counts those beside one that is still out. */
+    private final long[] repeats = new long[Reason.values().length + 1];
     long taken;
     long served;
-    long refused;
     long failed;
     long clientsGone;
     /** Commands whose clients had closed their connections before anything was done. */
@@ -31,12 +34,8 @@
     long cutShort;
     long lastCalls;
     long connects;
-    long localRefusals;
-    /** Clients' connections closed for room, for silence or halves, for long idling, and for want of any room. */
-    long evicted;
-    long timedOut;
-    long retired;
-    long turnedAway;
+    /** Attempts for which there was no connection to a cache, nor room for one. */
+    long noLinkRoom;
     private long timers;
     private long lateTimers;
     private long latest;
@@ -47,6 +46,55 @@
         outcomes[reason.ordinal()]++;
     }
 
+    void refused(RefusalReason reason) {
+        refusals[reason.ordinal()]++;
+    }
+
+    void closed(CloseReason reason) {
+        closes[reason.ordinal()]++;
+    }
+
+    /** One more attempt of a request; {@code last}: how the one before it ended, null while that is still out. */
+    void repeated(Reason last) {
+        repeats[last == null ? Reason.values().length : last.ordinal()]++;
+    }
+
+    private static long sum(long[] counts) {
+        long sum = 0;
+        for (long count : counts) {
+            sum += count;
+        }
+        return sum;
+    }
+
+    /** Requests that were refused. */
+    long refused() {
+        return sum(refusals);
+    }
+
+    private static String word(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** The counts above 0, by the names of what they count. */
+    private static Map<String, Object> byName(Enum<?>[] constants, long[] values) {
+        Map<String, Object> named = new LinkedHashMap<>();
+        for (Enum<?> constant : constants) {
+            if (values[constant.ordinal()] > 0) {
+                named.put(word(constant), values[constant.ordinal()]);
+            }
+        }
+        return named;
+    }
+
+    private Map<String, Object> repeatsByName() {
+        Map<String, Object> named = byName(Reason.values(), repeats);
+        if (repeats[Reason.values().length] > 0) {
+            named.put("hedged", repeats[Reason.values().length]);
+        }
+        return named;
+    }
+
     void timer(long late) {
         timers++;
         lateTimers += late > 5 * Clock.MILLISECOND ? 1 : 0;
@@ -58,7 +106,7 @@
         Map<String, Object> counts = new LinkedHashMap<>();
         counts.put("taken", taken);
         counts.put("served", served);
-        counts.put("refused", refused);
+        counts.put("refused", refused());
         counts.put("failed", failed);
         counts.put("gone", clientsGone);
         counts.put("departed", departed);
@@ -66,19 +114,14 @@
         counts.put("cut-short", cutShort);
         counts.put("last-calls", lastCalls);
         counts.put("connects", connects);
-        counts.put("local-refusals", localRefusals);
-        counts.put("evicted", evicted);
-        counts.put("timed-out", timedOut);
-        counts.put("retired", retired);
-        counts.put("turned-away", turnedAway);
+        counts.put("no-link-room", noLinkRoom);
         counts.put("timers", timers);
         counts.put("timers-late", lateTimers);
         counts.put("timer-worst-us", latest / MICROSECOND);
-        for (Reason reason : Reason.values()) {
-            if (outcomes[reason.ordinal()] > 0) {
-                counts.put(reason.name().toLowerCase(Locale.ROOT).replace('_', '-'), outcomes[reason.ordinal()]);
-            }
-        }
+        counts.putAll(byName(Reason.values(), outcomes));
+        counts.put("refusals", byName(RefusalReason.values(), refusals));
+        counts.put("closes", byName(CloseReason.values(), closes));
+        counts.put("repeats", repeatsByName());
         counts.put("not-logged", Math.max(0, noises - MOST_NOISES));
         noises = 0;
         states = 0;
--- a/node/src/main/java/frostrelay/node/HostPool.java
+++ b/node/src/main/java/frostrelay/node/HostPool.java
@@ -160,7 +160,7 @@
             link.write();
         } else if (links >= mostLinks && !evict()) {
             // No room here is not the host's fault: told as 'not sent', which blames nobody and refuses.
-            counters.localRefusals++;
+            counters.noLinkRoom++;
             listener.onAnswer(attempt, Reason.MOOT, null, null);
         } else {
             new Link(host).connect(attempt);
--- a/node/src/main/java/frostrelay/node/Lagging.java
+++ b/node/src/main/java/frostrelay/node/Lagging.java
@@ -123,7 +123,7 @@
     /** To be called about once a second. */
     void tick(long now, boolean deaf) {
         stragglers.onDeaf(now, deaf);
-        stragglers.onSecond(now, counters.served + counters.refused + counters.failed, counters.served);
+        stragglers.onSecond(now, counters.served + counters.refused() + counters.failed, counters.served);
         if (said.isEmpty() && now > fineUntil) {
             for (Kind kind : Kind.values()) {
                 words.failsNoMore(kind);
--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -24,6 +24,9 @@
     /** After a stop is asked for, clients go on coming for a while; they are served. */
     private static final long ACCEPT_ON_MS = 600;
     private static final long LOOK_MS = 10;
+    /** A shutdown tells how far it is so often, and names so many open requests. */
+    private static final long PROGRESS_NS = 500 * Clock.MILLISECOND;
+    private static final int MOST_NAMED = 10;
     private static final long SWEEP_MS = 250;
     /** An operator's call must be whole within this time. */
     private static final long CALL_MS = 2_000;
@@ -70,6 +73,9 @@
     private Set<String> overrides;
     private int sweeps;
     private int sweepsPerPrint;
+    /** When the shutdown began, and how far into it its progress was told last. */
+    private long stopAt;
+    private long progressTold;
 
     /**
      * To be called on the loop, as all of this class. {@code shared}: what the folder showed.
@@ -376,7 +382,8 @@
         Promise<Void> done = loop.newPromise();
         long longest = config.site().settings.classes().stream().mapToLong(Api.RequestClass::deadline).max()
                 .orElse(0);
-        Departure departure = Departure.end(Clock.now(), longest);
+        stopAt = Clock.now();
+        Departure departure = Departure.end(stopAt, longest);
         server.depart(departure);
         long end = departure.serveUntil() + longest;
         // What has already been accepted by the system is read first: it would be reset with the socket.
@@ -394,7 +401,17 @@
             fleet.close();
             done.setSuccess(null);
         } else {
+            tellProgress();
             loop.schedule(() -> await(done, end), LOOK_MS, TimeUnit.MILLISECONDS);
         }
     }
+
+    private void tellProgress() {
+        long elapsed = Clock.now() - stopAt;
+        if (elapsed >= progressTold + PROGRESS_NS) {
+            progressTold = elapsed;
+            Log.write(Event.SHUTDOWN_PROGRESS, elapsed / Clock.MILLISECOND, server.clients(), balancer.open(),
+                    balancer.openRequests(MOST_NAMED));
+        }
+    }
 }
