Answer every request before SIGKILL may come, and decide on sends and closes in one place

Under deadlines of 1.77 s requests were accepted for 1.5 s, and those with more than 0.97 s of patience left then ended past the kill. The class of fault: work is taken on for a span that is longer than what is left to whoever owes it.

Change: DrainSchedule plans from the signal's own moment and the shortest longest deadline of this life. ActionGuard, a decision module without clock or I/O, decides whether a request may be accepted, until when it is answered, whether an attempt may be written, and whether a quiet connection may be closed; all paths ask it right before they act, with the clock read anew. At SIGTERM every open request's deadline is cut to the schedule. A request's time runs from when its last byte was read, however long it stood in line behind others. Idle connections are not used past their time after a pause of the process. Invariants are looked at behind the acts and counted as violations, with a line each. SIGTERM before it serves ends the process in place of an exception on the loop.

--- a/node/src/main/java/frostrelay/lifecycle/SharedFolder.java
+++ b/node/src/main/java/frostrelay/lifecycle/SharedFolder.java
@@ -6,9 +6,11 @@
 import java.nio.file.Path;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
@@ -52,6 +54,16 @@
         return thread.submit((Callable<Look>) this::read).get();
     }
 
+    /** Whether other processes of this balancer serve now; no, where the folder does not tell within the limit. */
+    public boolean othersServe(long limitMs) throws InterruptedException, ExecutionException {
+        try {
+            return thread.submit(siblings::others).get(limitMs, TimeUnit.MILLISECONDS).count() > 0;
+        } catch (TimeoutException e) {
+            Log.write(Event.FOLDER_FAILED, "no answer within " + limitMs + " ms");
+            return false;
+        }
+    }
+
     private Look read() {
         Siblings.Others others = siblings.others();
         return new Look(holds.read(), overrides.read(), others.count(), others.usage());
--- a/node/src/main/java/frostrelay/log/Event.java
+++ b/node/src/main/java/frostrelay/log/Event.java
@@ -10,7 +10,8 @@
 public enum Event {
     SERVES(Level.INFO, "Clients are taken from now on.", "listen", "console"),
     CANNOT_START(Level.ERROR, "It ends with 1.", "reason"),
-    STOPS(Level.INFO, "SIGTERM came: what is open is answered, nothing new is waited for.", "replaced"),
+    STOPS(Level.INFO, "SIGTERM came: requests are accepted and answered for so many milliseconds more.", "replaced",
+            "accepts-ms", "answers-ms"),
     SHUTDOWN_PROGRESS(Level.INFO, "How far a shutdown is: connections of clients, and the first open requests with the milliseconds"
             + " that are left to answer each.", "elapsed-ms", "clients", "open", "requests"),
     REQUEST(Level.DEBUG, "A request changed its state.", "id", "state", "detail"),
@@ -37,6 +38,8 @@
     DISCOVERY_FAILED(Level.WARN, "A call or a watch ended without a list; the module says when to ask again. `silence`: another one is opened at once.",
             "reason"),
     PEER(Level.WARN, "A peer did what the protocol does not allow. At most 20 such lines between two counts.", "what"),
+    VIOLATION(Level.ERROR, "What must never happen did: a fault of this program, or a machine that gave it no time. Bounded as lines"
+            + " of peers are.", "invariant", "what"),
     UNEXPECTED(Level.ERROR, "An exception that nobody expected. Bounded as lines of peers are.", "where", "exception",
             "trace"),
     LIBRARY(Level.WARN, "A library complains. At most 100 such lines in a process's life.", "logger", "message",
--- a/node/src/main/java/frostrelay/node/Attempt.java
+++ b/node/src/main/java/frostrelay/node/Attempt.java
@@ -21,6 +21,8 @@
     boolean sent;
     /** Ends the wait at {@link #cutAt}. */
     Future<?> cut;
+    /** The milliseconds that its server was told it is waited for; 0 before it is written. */
+    long toldMs;
     /** What carries it, or will once it is up; null before and after. */
     Backend.Carrier carrier;
 
--- a/node/src/main/java/frostrelay/node/Backend.java
+++ b/node/src/main/java/frostrelay/node/Backend.java
@@ -1,5 +1,6 @@
 package frostrelay.node;
 
+import frostrelay.lifecycle.ActionGuard;
 import frostrelay.policy.Api;
 import frostrelay.policy.Api.Reason;
 import java.util.List;
@@ -10,9 +11,15 @@
 interface Backend {
     /** Hears how attempts end, but for those that were abandoned; {@code value}: what is still coming, or null. */
     interface Listener {
+        /** Whether an attempt may be written now to a host to which the last send may begin by {@code hostUntil}. */
+        ActionGuard.Verdict maySend(Attempt attempt, long hostUntil);
+
         /** An attempt is written to the host that the listener numbered so. */
         void onWrite(Attempt attempt, int host);
 
+        /** The write of an attempt has been handed to the system. */
+        void onWritten(Attempt attempt, long hostUntil);
+
         /** The number that a host is to be told of by, {@code uid} being its name in the list. */
         int number(String uid);
 
--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -3,6 +3,7 @@
 import frostrelay.policy.Api;
 import frostrelay.policy.Api.Reason;
 import frostrelay.judgements.Seen;
+import frostrelay.lifecycle.ActionGuard;
 import frostrelay.lifecycle.SharedFolder;
 import frostrelay.log.Event;
 import frostrelay.log.Log;
@@ -43,6 +44,8 @@
     private static final long FIRST_LIST_MS = 2_000;
     /** Past its deadline by this, a request that the module has left open is answered here. */
     private static final long LAST_CALL = Clock.MILLISECOND;
+    /** A final answer that is later than this breaks what clients are promised. */
+    private static final long MOST_LATE = 50 * Clock.MILLISECOND;
 
     /** Makes the decision module, given where its actions go. */
     interface Module {
@@ -90,7 +93,7 @@
             Ask ask = exchange.ask;
             witness.onTaken(ask.repeat());
             router.onRequest(Clock.now(), new Api.Request(exchange.id, ask.requestClass(), ask.tenant(),
-                    ask.keyNumber(), exchange.deadline, ask.work(), ask.repeat(), ask.write()));
+                    ask.keyNumber(), exchange.answerBy, ask.work(), ask.repeat(), ask.write()));
         }
     }
 
@@ -212,6 +215,7 @@
     /** The ids of requests that are owed an answer. */
     private final Set<String> openIds = new HashSet<>();
     private final Budget budget;
+    private final ActionGuard guard;
     private final Witness witness;
     private final Queue<ModuleEvent> events = new ArrayDeque<>();
     private Set<Long> held = Set.of();
@@ -228,8 +232,9 @@
     private final Promise<Void> heard;
 
     Balancer(Config config, EventLoop loop, Counters counters, Module module, Backend.Maker backend,
-             Budget budget, SharedFolder.Look shared, Witness witness) {
+             Budget budget, ActionGuard guard, SharedFolder.Look shared, Witness witness) {
         this.budget = budget;
+        this.guard = guard;
         this.witness = witness;
         this.site = new CurrentSite(config.site());
         this.loop = loop;
@@ -262,14 +267,15 @@
     /**
      * Takes a request, which is answered exactly once unless its client leaves first. Hosts know requests by
      * their ids alone: a second one under an open id could be served with what was made for the first.
+     * {@code arrivedAt}: when it had come whole; its client's wait has run since, however long it stood in line here.
      */
-    Exchange take(Ask ask, Exchange.Client client) throws IdInUseException {
+    Exchange take(Ask ask, long arrivedAt, Exchange.Client client) throws IdInUseException {
         if (openIds.contains(ask.id())) {
             throw new IdInUseException();
         }
         long now = Clock.now();
-        long deadline = now + ask.waitMs() * Clock.MILLISECOND - WAYS;
-        Exchange exchange = new Exchange(++lastId, ask, deadline, client);
+        long answerBy = guard.answerBy(arrivedAt, ask.waitMs() * Clock.MILLISECOND - WAYS);
+        Exchange exchange = new Exchange(++lastId, ask, site().settings.classes().get(ask.requestClass()), now, answerBy, client);
         counters.taken++;
         trace(exchange, "taken", ask.waitMs());
         // Running out of room is told to the client: a refusal of what never went out does no harm.
@@ -283,7 +289,7 @@
         }
         exchanges.put(exchange.id, exchange);
         openIds.add(ask.id());
-        exchange.lastCall = loop.schedule(new LastCall(exchange), deadline + LAST_CALL - now, TimeUnit.NANOSECONDS);
+        scheduleLastCall(exchange, now);
         if (catchUp && now - beat > PAUSE) {
             // This process stood still: what others have told it meanwhile waits in its sockets, and is read first.
             loop.schedule(() -> post(new Asked(exchange)), CATCH_UP_MS, TimeUnit.MILLISECONDS);
@@ -293,6 +299,22 @@
         return exchange;
     }
 
+    private void scheduleLastCall(Exchange exchange, long now) {
+        exchange.lastCall = loop.schedule(new LastCall(exchange), exchange.answerBy + LAST_CALL - now, TimeUnit.NANOSECONDS);
+    }
+
+    /** From now on every request is answered by this moment, also those that were accepted before. */
+    void answerAllBy(long latest) {
+        long now = Clock.now();
+        for (Exchange exchange : exchanges.values()) {
+            if (!exchange.over && exchange.answerBy > latest) {
+                exchange.answerBy = latest;
+                exchange.lastCall.cancel(false);
+                scheduleLastCall(exchange, now);
+            }
+        }
+    }
+
     private static void trace(Exchange exchange, String state, Object detail) {
         if (Log.isEnabled(Event.REQUEST)) {
             Log.write(Event.REQUEST, exchange.ask.id(), state, detail);
@@ -335,6 +357,50 @@
         }
     }
 
+    @Override
+    public ActionGuard.Verdict maySend(Attempt attempt, long hostUntil) {
+        return guard.maySend(Clock.now(), facts(attempt, hostUntil));
+    }
+
+    private ActionGuard.Send facts(Attempt attempt, long hostUntil) {
+        Exchange exchange = attempt.exchange;
+        return new ActionGuard.Send(exchange.over, attempt.cutAt, exchange.answerBy, hostUntil, repeatUntil(attempt));
+    }
+
+    /** Until when it does no harm to send an attempt, for what the attempts before it may have done. */
+    private long repeatUntil(Attempt attempt) {
+        for (int i = 0; i < attempt.number; i++) {
+            Attempt earlier = attempt.exchange.attempts.get(i);
+            if (earlier.ended == null || !earlier.ended.neverRan) {
+                Api.RequestClass current = site().settings.classes().get(attempt.exchange.ask.requestClass());
+                return Math.min(repeatUntil(attempt.exchange.requestClass, earlier), repeatUntil(current, earlier));
+            }
+        }
+        return ActionGuard.NEVER;
+    }
+
+    private static long repeatUntil(Api.RequestClass requestClass, Attempt first) {
+        return switch (requestClass.effect()) {
+            case RETRYABLE -> ActionGuard.NEVER;
+            case DEDUP -> first.sentAt + requestClass.window() - ActionGuard.HELD_UP;
+            case FRAGILE -> first.sentAt;
+        };
+    }
+
+    /** Looks once more, with the clock read anew: what is found here was held up for longer than is allowed for. */
+    @Override
+    public void onWritten(Attempt attempt, long hostUntil) {
+        long now = Clock.now();
+        ActionGuard.Verdict verdict = guard.maySend(now - ActionGuard.HELD_UP, facts(attempt, hostUntil));
+        if (verdict != ActionGuard.Verdict.ALLOWED) {
+            counters.violated(Violation.WRITTEN_AGAINST_GUARD, attempt.exchange.ask.id() + ": " + verdict);
+        }
+        long overstated = now + attempt.toldMs * Clock.MILLISECOND - attempt.exchange.answerBy;
+        if (overstated > ActionGuard.HELD_UP) {
+            counters.violated(Violation.TIME_OVERSTATED, attempt.exchange.ask.id() + ": by " + overstated / Clock.MILLISECOND + " ms");
+        }
+    }
+
     @Override
     public void onWrite(Attempt attempt, int host) {
         boolean copy = false;
@@ -379,7 +445,7 @@
         Map<String, Object> open = new LinkedHashMap<>();
         for (Exchange exchange : exchanges.values()) {
             if (!exchange.over && open.size() < most) {
-                open.put(exchange.ask.id(), (exchange.deadline - now) / Clock.MILLISECOND);
+                open.put(exchange.ask.id(), (exchange.answerBy - now) / Clock.MILLISECOND);
             }
         }
         return open;
@@ -583,6 +649,10 @@
         if (!exchange.close()) {
             return false;
         }
+        long late = exchange.lateness(Clock.now());
+        if (late > MOST_LATE) {
+            counters.violated(Violation.UNANSWERED, exchange.ask.id() + ": for " + late / Clock.MILLISECOND + " ms past its time");
+        }
         if (exchanges.containsKey(exchange.id)) {
             openIds.remove(exchange.ask.id());
         }
@@ -599,7 +669,7 @@
             return;
         }
         long now = Clock.now();
-        long cut = cutAt <= 0 ? exchange.deadline : Math.min(cutAt, exchange.deadline);
+        long cut = cutAt <= 0 ? exchange.answerBy : Math.min(cutAt, exchange.answerBy);
         Attempt attempt = new Attempt(exchange, exchange.attempts.size(), server, now, cut, witness.sequence());
         if (attempt.number > 0) {
             counters.repeated(exchange.attempts.get(attempt.number - 1).ended);
@@ -607,7 +677,7 @@
         exchange.attempts.add(attempt);
         exchange.pending++;
         boolean tooMany = exchange.attempts.size() > site().settings.maxAttempts();
-        if (exchange.over || tooMany || now >= exchange.deadline) {
+        if (exchange.over || tooMany || now >= exchange.answerBy) {
             end(attempt, Reason.MOOT, null, null);
         } else if (now >= cut) {
             end(attempt, Reason.TIMEOUT, null, null);
--- a/node/src/main/java/frostrelay/node/ClientServer.java
+++ b/node/src/main/java/frostrelay/node/ClientServer.java
@@ -1,6 +1,6 @@
 package frostrelay.node;
 
-import frostrelay.lifecycle.Departure;
+import frostrelay.lifecycle.ActionGuard;
 import frostrelay.log.Event;
 import frostrelay.log.Log;
 import io.netty.bootstrap.ServerBootstrap;
@@ -51,11 +51,6 @@
     private static final long COMMAND_NS = 2_500 * Clock.MILLISECOND;
     /** A connection on which nothing has been asked for so long is closed; good clients ask far more often. */
     private static final long IDLE_NS = 20 * Clock.SECOND;
-    /**
-     * While clients are sent away, one that has just come is not closed at once: its first request is on the way, and a close
-     * would cross it. A slow way there takes 60 ms, a busy client some more.
-     */
-    private static final long NEWCOMER_NS = 300 * Clock.MILLISECOND;
     /** A client that does not take the answer behind which its connection closes is not waited for longer. */
     private static final long FAREWELL_NS = 2 * Clock.SECOND;
     /** A client that has been sent the end of a connection closes it a way's time later; each that does not holds a descriptor. */
@@ -96,13 +91,13 @@
     private long unread;
     /** Bytes of long values that are written and not taken yet. */
     private long streamed;
-    /** How clients are being sent away; null while they are welcome. */
-    private Departure departure;
+    private final ActionGuard guard;
 
     /** {@code mostSurplus}: connections over {@code mostClients} that are kept just to be refused. */
-    ClientServer(Balancer balancer, EventLoop loop, Counters counters, Budget budget, int mostClients,
+    ClientServer(Balancer balancer, EventLoop loop, Counters counters, Budget budget, ActionGuard guard, int mostClients,
                  int mostSurplus) {
         this.balancer = balancer;
+        this.guard = guard;
         this.budget = budget;
         this.loop = loop;
         this.counters = counters;
@@ -139,12 +134,9 @@
 
     /** Takes no more connections. */
     void stopListening() {
-        server.close();
-    }
-
-    /** Sends clients away by a timetable; null takes them again. */
-    void depart(Departure timetable) {
-        departure = timetable;
+        if (server != null) {
+            server.close();
+        }
     }
 
     /** From now on so many connections are held at most; idle ones make room as further ones come. */
@@ -205,6 +197,10 @@
         }
     }
 
+    /** A command that was read, and when it came. */
+    private record Arrived(MetaFrame frame, long at) {
+    }
+
     /** An answer has left. */
     private final class Taken implements ChannelFutureListener {
         private final int bytes;
@@ -333,7 +329,7 @@
         private final ReadAhead readAhead = new ReadAhead(this, ahead, READS_AT_ONCE);
         private final Queue<Slot> slots = new ArrayDeque<>();
         /** Commands that have been read and not begun. */
-        private final Queue<MetaFrame> arrived = new ArrayDeque<>();
+        private final Queue<Arrived> arrived = new ArrayDeque<>();
         /** When it came, fell idle or began to quit. */
         private long since = Clock.now();
         /** When the command that is still coming in began; 0 if there is none. */
@@ -386,7 +382,7 @@
 
         /** To be closed as soon as all that was read from it is answered. */
         private boolean isUnwelcome() {
-            return surplus || departure != null;
+            return surplus || guard.sendsClientsAway();
         }
 
         /** Nothing that was read waits for its answer, or to be begun. */
@@ -417,9 +413,19 @@
 
         private void close(CloseReason reason) {
             closeReason = closeReason == null ? reason : closeReason;
+            if (!isDone()) {
+                checkNothingOwed(reason);
+            }
             channel.close();
         }
 
+        /** What was read and is not answered must not end with the connection, unless the client broke it or left. */
+        private void checkNothingOwed(CloseReason reason) {
+            if (reason.isOwnChoice()) {
+                counters.violated(Violation.CLOSED_UNANSWERED, reason + ": " + slots.size() + " open, " + arrived.size() + " read");
+            }
+        }
+
         /** Nothing more is begun; the connection ends behind the answers that are owed on it. */
         private void endBehindAnswers(CloseReason reason) {
             quitting = true;
@@ -427,18 +433,17 @@
         }
 
         private CloseReason unwelcomeReason() {
-            if (departure == null) {
+            if (!guard.sendsClientsAway()) {
                 return CloseReason.SURPLUS;
             }
-            return departure.drain() ? CloseReason.DRAINING : CloseReason.SHUTTING_DOWN;
+            return guard.isShuttingDown() ? CloseReason.SHUTTING_DOWN : CloseReason.DRAINING;
         }
 
         void checkTime(long now) {
             if (!slots.isEmpty() && slots.peek().isStalled(now)) {
                 counters.cutShort++;
                 close(CloseReason.VALUE_STALLED);
-            } else if (departure != null && isDone() && !leaving && (spoke || now - since >= NEWCOMER_NS)
-                    && now >= (halfSince == 0 ? departure.idleUntil() : departure.serveUntil())) {
+            } else if (isDone() && !leaving && guard.mayCloseQuiet(now, spoke, since, halfSince != 0)) {
                 quit(unwelcomeReason());
             } else if (leaving) {
                 if (now - since > (shut ? LINGER_NS : FAREWELL_NS)) {
@@ -476,13 +481,22 @@
 
         private void pauseReading(long ms) {
             pausedUntil = Clock.now() + ms * Clock.MILLISECOND;
-            channel.config().setAutoRead(false);
+            setReading(false);
             loop.schedule(adjusting, ms, TimeUnit.MILLISECONDS);
         }
 
+        private void setReading(boolean on) {
+            if (on) {
+                readAhead.resumes();
+            } else {
+                readAhead.rests();
+            }
+            channel.config().setAutoRead(on);
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, MetaFrame frame) {
-            arrived.add(frame);
+            arrived.add(new Arrived(frame, readAhead.arrivedAt()));
         }
 
         private void beginSoon() {
@@ -514,16 +528,9 @@
             }
             reading = true;
             while (mayBegin() && (!arrived.isEmpty() || readAhead.feed())) {
-                MetaFrame frame = arrived.poll();
-                if (frame != null) {
-                    asked = true;
-                    Slot slot = new Slot(this);
-                    slots.add(slot);
-                    if (frame.fault() != null) {
-                        fault(slot, frame.fault(), frame.last());
-                    } else {
-                        take(slot, frame);
-                    }
+                Arrived next = arrived.poll();
+                if (next != null) {
+                    begin(next);
                 }
             }
             if (!isDone() || decoder.isClean()) {
@@ -535,6 +542,18 @@
             flushReady();
         }
 
+        private void begin(Arrived next) {
+            MetaFrame frame = next.frame;
+            asked = true;
+            Slot slot = new Slot(this);
+            slots.add(slot);
+            if (frame.fault() != null) {
+                fault(slot, frame.fault(), frame.last());
+            } else {
+                take(slot, next);
+            }
+        }
+
         /**
          * Answers what cannot be served. Nothing behind a fault of framing is read; behind any other one reading
          * rests, so that a client which sends the same again at once takes no time from the others.
@@ -549,13 +568,13 @@
             slot.answer(answer + "\r\n", null);
         }
 
-        private void take(Slot slot, MetaFrame frame) {
-            switch (frame.words().get(0)) {
-                case "mg", "ms" -> request(slot, frame);
+        private void take(Slot slot, Arrived next) {
+            switch (next.frame.words().get(0)) {
+                case "mg", "ms" -> request(slot, next);
                 case "mn" -> {
                     spoke = true;
-                    slot.answer(departure != null && departure.drain() ? "SERVER_ERROR draining\r\n" : "MN\r\n",
-                            null);
+                    boolean draining = guard.sendsClientsAway() && !guard.isShuttingDown();
+                    slot.answer(draining ? "SERVER_ERROR draining\r\n" : "MN\r\n", null);
                 }
                 case "quit" -> {
                     slots.remove(slot);
@@ -565,15 +584,15 @@
             }
         }
 
-        private void request(Slot slot, MetaFrame frame) {
-            if (surplus || departure != null && Clock.now() >= departure.serveUntil()) {
+        private void request(Slot slot, Arrived next) {
+            if (surplus || !guard.mayAccept(Clock.now())) {
                 counters.refused(surplus ? RefusalReason.NO_CONNECTION_ROOM : RefusalReason.NOT_ACCEPTING);
                 slot.answer("SERVER_ERROR busy\r\n", null);
                 return;
             }
             try {
-                slot.command = new Command(frame, balancer.site());
-                slot.exchange = balancer.take(slot.command, slot);
+                slot.command = new Command(next.frame, balancer.site());
+                slot.exchange = balancer.take(slot.command, next.at, slot);
                 spoke = true;
             } catch (Command.Malformed e) {
                 fault(slot, e.getMessage(), false);
@@ -635,6 +654,9 @@
                 return;
             }
             if (quitting) {
+                if (!arrived.isEmpty() || !readAhead.isEmpty()) {
+                    checkNothingOwed(closeReason);
+                }
                 arrived.clear();
                 readAhead.discard();
             }
@@ -651,7 +673,7 @@
                     beginSoon();
                 }
             }
-            channel.config().setAutoRead(readAhead.hasRoom() && Clock.now() >= pausedUntil);
+            setReading(readAhead.hasRoom() && Clock.now() >= pausedUntil);
         }
 
         /**
--- a/node/src/main/java/frostrelay/node/CloseReason.java
+++ b/node/src/main/java/frostrelay/node/CloseReason.java
@@ -29,5 +29,14 @@
     /** The cache ended a long value too early; only a close tells the client so. */
     VALUE_BROKEN,
     /** Reading or writing failed. */
-    CONNECTION_ERROR
+    CONNECTION_ERROR;
+
+    /** Whether this end chose to close, and had to answer what it had read before that. */
+    boolean isOwnChoice() {
+        return switch (this) {
+            case SHUTTING_DOWN, DRAINING, EVICTED, SURPLUS, IDLE, INCOMPLETE_COMMAND -> true;
+            case CLIENT_CLOSED, CLIENT_QUIT, TURNED_AWAY, PROTOCOL_FAULT, ANSWERS_UNREAD, VALUE_STALLED, VALUE_BROKEN,
+                    CONNECTION_ERROR -> false;
+        };
+    }
 }
--- a/node/src/main/java/frostrelay/node/Counters.java
+++ b/node/src/main/java/frostrelay/node/Counters.java
@@ -1,5 +1,6 @@
 package frostrelay.node;
 
+import frostrelay.lifecycle.ActionGuard;
 import frostrelay.log.Event;
 import frostrelay.log.Log;
 import frostrelay.policy.Api.Reason;
@@ -21,6 +22,8 @@
     private final long[] outcomes = new long[Reason.values().length];
     private final long[] refusals = new long[RefusalReason.values().length];
     private final long[] closes = new long[CloseReason.values().length];
+    private final long[] violations = new long[Violation.values().length];
+    private final long[] denials = new long[ActionGuard.Verdict.values().length];
     /** Further attempts, by how the one before them ended; the last place counts those beside one that is still out. */
     private final long[] repeats = new long[Reason.values().length + 1];
     long taken;
@@ -54,6 +57,19 @@
         closes[reason.ordinal()]++;
     }
 
+    /** The guard kept an attempt from being written. */
+    void denied(ActionGuard.Verdict verdict) {
+        denials[verdict.ordinal()]++;
+    }
+
+    /** An invariant does not hold; {@code what}: whose, and by how much. */
+    void violated(Violation violation, String what) {
+        violations[violation.ordinal()]++;
+        if (++noises <= MOST_NOISES) {
+            Log.write(Event.VIOLATION, violation, what);
+        }
+    }
+
     /** One more attempt of a request; {@code last}: how the one before it ended, null while that is still out. */
     void repeated(Reason last) {
         repeats[last == null ? Reason.values().length : last.ordinal()]++;
@@ -122,6 +138,8 @@
         counts.put("refusals", byName(RefusalReason.values(), refusals));
         counts.put("closes", byName(CloseReason.values(), closes));
         counts.put("repeats", repeatsByName());
+        counts.put("denials", byName(ActionGuard.Verdict.values(), denials));
+        counts.put("violations", byName(Violation.values(), violations));
         counts.put("not-logged", Math.max(0, noises - MOST_NOISES));
         noises = 0;
         states = 0;
--- a/node/src/main/java/frostrelay/node/Exchange.java
+++ b/node/src/main/java/frostrelay/node/Exchange.java
@@ -1,5 +1,6 @@
 package frostrelay.node;
 
+import frostrelay.policy.Api;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,8 +20,11 @@
 
     final long id;
     final Ask ask;
-    /** The latest moment for a final answer, on this program's clock. */
-    final long deadline;
+    /** Its class, as the settings had it when the request was accepted. */
+    final Api.RequestClass requestClass;
+    /** When the final answer is due, on this program's clock; earlier than at first once a shutdown began. */
+    long answerBy;
+    private final long acceptedAt;
     final List<Attempt> attempts = new ArrayList<>(2);
     final Client client;
     int pending;
@@ -32,13 +36,20 @@
     boolean mayHaveRun;
     Future<?> lastCall;
 
-    Exchange(long id, Ask ask, long deadline, Client client) {
+    Exchange(long id, Ask ask, Api.RequestClass requestClass, long acceptedAt, long answerBy, Client client) {
         this.id = id;
         this.ask = ask;
-        this.deadline = deadline;
+        this.requestClass = requestClass;
+        this.acceptedAt = acceptedAt;
+        this.answerBy = answerBy;
         this.client = client;
     }
 
+    /** By how much its final answer is late now; waiting in line behind others' answers does not count. */
+    long lateness(long now) {
+        return now - Math.max(acceptedAt, answerBy);
+    }
+
     /** Closes the request; true the first time only, so that there is never a second answer. */
     boolean close() {
         boolean first = !over;
--- a/node/src/main/java/frostrelay/node/HostPool.java
+++ b/node/src/main/java/frostrelay/node/HostPool.java
@@ -1,5 +1,6 @@
 package frostrelay.node;
 
+import frostrelay.lifecycle.ActionGuard;
 import frostrelay.policy.Api;
 import frostrelay.policy.Api.Reason;
 import io.netty.bootstrap.Bootstrap;
@@ -31,11 +32,11 @@
     /** Part of the hosts' idle time after which a connection is retired: a request that crossed the close
      * would end as a reset, which a write cannot repeat. */
     private static final double IDLE_PART = 0.6;
-    /** Taken off the drain grace, for the way of the last byte. */
-    private static final long GRACE_MARGIN = 100 * Clock.MILLISECOND;
+    /** Taken off the drain grace: for the way of the last byte, and for a process that is held up before it writes. */
+    private static final long GRACE_MARGIN = 100 * Clock.MILLISECOND + ActionGuard.HELD_UP;
     /** A host that is gone is known so long: a restart takes 2 to 30 s, and operators' calls may come behind the list's. */
     private static final long KEPT = 60 * Clock.SECOND;
-    private static final long NEVER = Long.MAX_VALUE;
+    private static final long NEVER = ActionGuard.NEVER;
     /** Bytes of one read, the most that a paused value leaves waiting. */
     private static final int MOST_READ = 16 * 1024;
 
@@ -145,15 +146,11 @@
     @Override
     public void send(Attempt attempt, long server) {
         Host host = hosts.get(server);
-        if (host == null || Clock.now() >= host.sendUntil) {
+        if (host == null || ask(attempt, host) != ActionGuard.Verdict.ALLOWED) {
             listener.onAnswer(attempt, Reason.MOOT, null, null);
             return;
         }
-        Link link = host.idle.peekLast();
-        while (link != null && !link.channel.isActive()) {
-            link.leaveIdle();
-            link = host.idle.peekLast();
-        }
+        Link link = warmest(host);
         if (link != null) {
             link.leaveIdle();
             link.carry(attempt);
@@ -167,6 +164,32 @@
         }
     }
 
+    private ActionGuard.Verdict ask(Attempt attempt, Host host) {
+        ActionGuard.Verdict verdict = listener.maySend(attempt, host.sendUntil);
+        if (verdict != ActionGuard.Verdict.ALLOWED) {
+            counters.denied(verdict);
+        }
+        return verdict;
+    }
+
+    /**
+     * The idle connection that was used last, or null. One that was idle for too long is not used even if no sweep has seen to it
+     * yet, as after a pause of this process: its host may have closed it.
+     */
+    private Link warmest(Host host) {
+        long oldest = oldestIdle();
+        Link link = host.idle.peekLast();
+        while (link != null && (!link.channel.isActive() || link.idleSince <= oldest)) {
+            link.retire();
+            link = host.idle.peekLast();
+        }
+        return link;
+    }
+
+    private long oldestIdle() {
+        return Clock.now() - (long) (site.get().idleTime * IDLE_PART);
+    }
+
     /** From now on so many connections are held at most; idle ones make room. */
     @Override
     public void limit(int most) {
@@ -214,7 +237,7 @@
     /** Retires connections well before their hosts would, and forgets hosts that are gone for long. */
     @Override
     public void sweep() {
-        long oldest = Clock.now() - (long) (site.get().idleTime * IDLE_PART);
+        long oldest = oldestIdle();
         for (Link link : List.copyOf(idle)) {
             if (link.idleSince > oldest) {
                 break;
@@ -292,14 +315,15 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
-            if (attempt != null && attempt.exchange.over) {
-                // Its client was answered or left, where nothing may be cancelled: what was not sent is not begun.
+            ActionGuard.Verdict verdict = attempt == null ? ActionGuard.Verdict.REQUEST_OVER : ask(attempt, host);
+            if (attempt != null && verdict != ActionGuard.Verdict.ALLOWED) {
+                // What it was to carry must not begin any more: for a server that has left, another may be tried.
                 Attempt late = attempt;
                 release();
-                listener.onAnswer(late, Reason.MOOT, null, null);
+                listener.onAnswer(late, verdict == ActionGuard.Verdict.SERVER_LEFT ? Reason.CONNECT_FAILED : Reason.MOOT, null, null);
             }
             if (attempt == null) {
-                // Cancelled or cut while the connection came up: nothing is written, the connection is kept.
+                // Cancelled, cut or denied while the connection came up: nothing is written, the connection is kept.
                 goIdle();
             } else {
                 write();
@@ -307,16 +331,12 @@
         }
 
         private void write() {
-            long now = Clock.now();
-            if (now >= host.sendUntil) {
-                // The drain grace ran out while the connection came up.
-                finish(Reason.CONNECT_FAILED, null, true);
-                return;
-            }
-            long leftMs = Math.max(1, (attempt.cutAt - now) / Clock.MILLISECOND);
-            ByteBuf bytes = attempt.exchange.ask.encode(channel.alloc(), leftMs);
-            listener.onWrite(attempt, host.number);
+            Attempt written = attempt;
+            written.toldMs = Math.max(1, (written.cutAt - Clock.now()) / Clock.MILLISECOND);
+            ByteBuf bytes = written.exchange.ask.encode(channel.alloc(), written.toldMs);
+            listener.onWrite(written, host.number);
             sent = channel.writeAndFlush(bytes);
+            listener.onWritten(written, host.sendUntil);
         }
 
         @Override
--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -2,7 +2,8 @@
 
 import frostrelay.console.ConsoleServer;
 import frostrelay.console.Operations;
-import frostrelay.lifecycle.Departure;
+import frostrelay.lifecycle.ActionGuard;
+import frostrelay.lifecycle.DrainSchedule;
 import frostrelay.lifecycle.SharedFolder;
 import frostrelay.lifecycle.Usage;
 import frostrelay.log.Event;
@@ -21,8 +22,6 @@
 
 /** One balancer, put together: everything it has lives on one event loop, but for the looks at its shared folder. */
 final class Node implements Operations {
-    /** After a stop is asked for, clients go on coming for a while; they are served. */
-    private static final long ACCEPT_ON_MS = 600;
     private static final long LOOK_MS = 10;
     /** A shutdown tells how far it is so often, and names so many open requests. */
     private static final long PROGRESS_NS = 500 * Clock.MILLISECOND;
@@ -52,6 +51,7 @@
     private final SharedFolder folder;
     private final Counters counters = new Counters();
     private final Budget budget = new Budget(MOST_HELD);
+    private final ActionGuard guard = new ActionGuard();
     private final Balancer balancer;
     private final ClientServer server;
     private final Fleet fleet;
@@ -73,6 +73,8 @@
     private Set<String> overrides;
     private int sweeps;
     private int sweepsPerPrint;
+    /** The longest deadline of a request, under the settings of this life that have the shortest such: a kill may go by either. */
+    private long longestDeadline;
     /** When the shutdown began, and how far into it its progress was told last. */
     private long stopAt;
     private long progressTold;
@@ -83,6 +85,7 @@
     Node(Config config, EventLoop loop, Balancer.Module module, SharedFolder folder,
          SharedFolder.Look shared, Options options, Seams seams) {
         this.config = config;
+        longestDeadline = config.site().longestDeadline();
         countEvery(options.counts());
         this.fleet = Fleet.of(config, options.fleet(), seams, loop, counters, new Fleet.Lead() {
             @Override
@@ -130,11 +133,12 @@
         clients = Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
         links = Math.max(1, all - reserve() - clients - surplus);
         balancer = new Balancer(config, loop, counters, module,
-                (site, listener) -> new HostPool(site, loop, counters, mostLinks(shared), listener), budget, shared, fleet.witness());
+                (site, listener) -> new HostPool(site, loop, counters, mostLinks(shared), listener), budget, guard, shared,
+                fleet.witness());
         if (options.fleet().stragglers()) {
             balancer.catchUpFirst();
         }
-        server = new ClientServer(balancer, loop, counters, budget, mostClients(shared), surplus);
+        server = new ClientServer(balancer, loop, counters, budget, guard, mostClients(shared), surplus);
     }
 
     private int reserve() {
@@ -175,15 +179,19 @@
     }
 
     private void listen(Promise<ChannelFuture> started) {
+        if (guard.isShuttingDown()) {
+            // Asked to end before it served at all: the process ends, and nobody waits for this.
+            return;
+        }
         ChannelFuture clients = server.listen(config.listen());
         clients.addListener(bound -> {
-            if (bound.isSuccess()) {
+            if (bound.isSuccess() && !guard.isShuttingDown()) {
                 phase = Phase.SERVING;
                 fleet.serve();
                 fleet.overrides(overrides);
                 folder.serve(() -> usage, look -> loop.execute(() -> share(look)));
                 started.setSuccess(clients);
-            } else {
+            } else if (!bound.isSuccess()) {
                 started.setFailure(bound.cause());
             }
         });
@@ -258,6 +266,7 @@
     boolean reload(Map<?, ?> json) {
         try {
             config = config.succeed(json);
+            longestDeadline = Math.min(longestDeadline, config.site().longestDeadline());
             balancer.reload(config);
             Log.write(Event.SETTINGS_TAKEN, config.site().names(), config.site().settings.maxAttempts());
             return true;
@@ -339,7 +348,7 @@
         if (phase == Phase.SERVING) {
             Log.write(Event.DRAIN_BEGINS);
             phase = Phase.DRAINING;
-            server.depart(Departure.drain(Clock.now()));
+            guard.follow(DrainSchedule.forDrain(Clock.now()));
         }
     }
 
@@ -349,7 +358,7 @@
         if (phase == Phase.DRAINING) {
             Log.write(Event.DRAIN_ENDS);
             phase = Phase.SERVING;
-            server.depart(null);
+            guard.follow(null);
         }
     }
 
@@ -373,30 +382,34 @@
 
     /**
      * Stops in order; the future is done when every request has been answered and every client is gone.
-     * {@code replaced}: another process of this balancer listens, so that new clients need not be waited for.
+     * {@code replaced}: another process of this balancer listens, so that new clients need not be waited for;
+     * {@code signalledAt}: when it was asked for, from which on the time until a kill runs.
      */
-    Future<Void> stop(boolean replaced) {
-        Log.write(Event.STOPS, replaced);
+    Future<Void> stop(boolean replaced, long signalledAt) {
+        stopAt = signalledAt;
+        DrainSchedule schedule = DrainSchedule.forShutdown(signalledAt, longestDeadline);
+        Log.write(Event.STOPS, replaced, (schedule.acceptUntil() - signalledAt) / Clock.MILLISECOND,
+                (schedule.answerUntil() - signalledAt) / Clock.MILLISECOND);
         phase = Phase.STOPPING;
+        guard.follow(schedule);
+        balancer.answerAllBy(schedule.answerUntil());
         fleet.leave(replaced);
         Promise<Void> done = loop.newPromise();
-        long longest = config.site().settings.classes().stream().mapToLong(Api.RequestClass::deadline).max()
-                .orElse(0);
-        stopAt = Clock.now();
-        Departure departure = Departure.end(stopAt, longest);
-        server.depart(departure);
-        long end = departure.serveUntil() + longest;
         // What has already been accepted by the system is read first: it would be reset with the socket.
+        long listenOn = replaced ? LOOK_MS * Clock.MILLISECOND : schedule.acceptUntil() - Clock.now();
         loop.schedule(() -> {
             server.stopListening();
-            await(done, end);
-        }, replaced ? LOOK_MS : ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+            await(done, schedule.exitAt());
+        }, Math.max(0, listenOn), TimeUnit.NANOSECONDS);
         return done;
     }
 
     private void await(Promise<Void> done, long end) {
-        // By the end every deadline has passed: only a client that does not read can still be there.
+        // By the end every request is answered: only a client that does not read can still be there.
         if (server.clients() == 0 && balancer.open() == 0 || Clock.now() >= end) {
+            if (balancer.open() > 0) {
+                counters.violated(Violation.UNANSWERED, "at the end of the process: " + balancer.openRequests(MOST_NAMED));
+            }
             print();
             fleet.close();
             done.setSuccess(null);
--- a/node/src/main/java/frostrelay/node/Program.java
+++ b/node/src/main/java/frostrelay/node/Program.java
@@ -18,6 +18,8 @@
 public final class Program {
     /** Where the signal for a replaced configuration is ignored, the file is looked at so often. */
     private static final long LOOK = Clock.SECOND;
+    /** A shutdown does not wait longer for its folder. */
+    private static final long LOOK_LIMIT_MS = 100;
     /** Nobody takes longer than this between two pieces of a file that he writes. */
     private static final long BETWEEN_LOOKS = 300 * Clock.MILLISECOND;
 
@@ -134,9 +136,10 @@
     }
 
     private void stop() {
+        long signalledAt = Clock.now();
         try {
-            boolean replaced = folder.look().others() > 0;
-            loop.submit(() -> node.stop(replaced)).get().await();
+            boolean replaced = folder.othersServe(LOOK_LIMIT_MS);
+            loop.submit(() -> node.stop(replaced, signalledAt)).get().await();
             folder.close();
         } catch (Exception e) {
             Log.write(Event.STOPPED_SHORT, e.toString());
--- a/node/src/main/java/frostrelay/node/ReadAhead.java
+++ b/node/src/main/java/frostrelay/node/ReadAhead.java
@@ -5,6 +5,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.ByteToMessageDecoder;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -21,6 +23,23 @@
     /** The loop reads before it runs what falls due after this. */
     private static final long NEXT_TURN_MS = 1;
 
+    /** Bytes that come within this of one another count as having come with the first of them. */
+    private static final long AT_ONCE_NS = 5 * Clock.MILLISECOND;
+
+    /** What waited while the connection was not read is read within this of its being read again. */
+    private static final long RESUME_NS = 20 * Clock.MILLISECOND;
+
+    /** Bytes that have come together. */
+    private static final class Arrival {
+        final long at;
+        int left;
+
+        Arrival(long at, int bytes) {
+            this.at = at;
+            this.left = bytes;
+        }
+    }
+
     /** Hears of what has come. */
     interface Listener {
         /** Some bytes wait to be {@link #feed fed}. */
@@ -42,6 +61,13 @@
     private final int readsAtOnce;
     private ChannelHandlerContext context;
     private ByteBuf held = Unpooled.EMPTY_BUFFER;
+    /** When the held bytes came, in their order. */
+    private final Deque<Arrival> arrivals = new ArrayDeque<>(1);
+    /** When the piece came that was handed on last. */
+    private long arrivedAt;
+    /** Since when nothing was read on purpose, and when that ended; what is read right behind may have come at the first. 0 for neither. */
+    private long restsSince;
+    private long resumedAt;
     private int reads;
     private boolean discards;
 
@@ -70,15 +96,54 @@
             return;
         }
         total.bytes += bytes.readableBytes();
+        note(bytes.readableBytes());
         held = ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(ctx.alloc(), held, bytes);
         listener.onBytes();
     }
 
+    private void note(int bytes) {
+        long now = Clock.now();
+        if (resumedAt != 0 && now - resumedAt > RESUME_NS) {
+            forgetRest();
+        }
+        long at = restsSince == 0 ? now : restsSince;
+        Arrival last = arrivals.peekLast();
+        if (last != null && at - last.at < AT_ONCE_NS) {
+            last.left += bytes;
+        } else {
+            arrivals.add(new Arrival(at, bytes));
+        }
+    }
+
+    /** The connection is not read for now: what comes meanwhile has come before it is read. */
+    void rests() {
+        restsSince = restsSince == 0 ? Clock.now() : restsSince;
+        resumedAt = 0;
+    }
+
+    /** It is read again. */
+    void resumes() {
+        resumedAt = restsSince != 0 && resumedAt == 0 ? Clock.now() : resumedAt;
+    }
+
+    private void forgetRest() {
+        restsSince = 0;
+        resumedAt = 0;
+    }
+
+    /** When the bytes came that were handed on last. */
+    long arrivedAt() {
+        return arrivedAt;
+    }
+
     /** Where as much was read as is at once, the end of the connection may stand right behind: the next turn looks for it first. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         boolean more = reads >= readsAtOnce && hasRoom();
         boolean some = reads > 0;
+        if (some && reads < readsAtOnce) {
+            forgetRest();
+        }
         reads = 0;
         if (more) {
             ctx.executor().schedule(() -> listener.onRead(true), NEXT_TURN_MS, TimeUnit.MILLISECONDS);
@@ -101,7 +166,13 @@
         if (isEmpty()) {
             return false;
         }
-        int some = Math.min(PIECE, held.readableBytes());
+        Arrival first = arrivals.peek();
+        int some = Math.min(PIECE, first.left);
+        arrivedAt = first.at;
+        first.left -= some;
+        if (first.left == 0) {
+            arrivals.poll();
+        }
         ByteBuf piece = held.readRetainedSlice(some);
         total.bytes -= some;
         if (isEmpty()) {
@@ -122,5 +193,6 @@
         total.bytes -= held.readableBytes();
         held.release();
         held = Unpooled.EMPTY_BUFFER;
+        arrivals.clear();
     }
 }
--- a/node/src/main/java/frostrelay/node/Rehearsal.java
+++ b/node/src/main/java/frostrelay/node/Rehearsal.java
@@ -71,7 +71,7 @@
             int[] ports = {discovery.getLocalPort(), host.getLocalPort(), talkPort(), talkPort()};
             Node alone = start(loop, ports, 0, folder, Options.STANDARD);
             int answers = ask(listen(loop, alone));
-            loop.submit(() -> alone.stop(false)).get().sync();
+            loop.submit(() -> alone.stop(false, Clock.now())).get().sync();
             Options talking = new Options(Options.STANDARD.logFormat(), Options.STANDARD.logLevel(), 0, Options.STANDARD.counts(),
                     TALKING);
             Node first = start(loop, ports, 0, folder, talking);
@@ -80,8 +80,8 @@
             answers += ask(listen(loop, first));
             Thread.sleep(TALK_MS);
             answers += loop.submit(first::audit).get() == null ? 0 : 1;
-            loop.submit(() -> second.stop(false)).get().sync();
-            loop.submit(() -> first.stop(false)).get().sync();
+            loop.submit(() -> second.stop(false, Clock.now())).get().sync();
+            loop.submit(() -> first.stop(false, Clock.now())).get().sync();
             return answers;
         } finally {
             group.shutdownGracefully().sync();
--- a/node/src/main/java/frostrelay/node/Site.java
+++ b/node/src/main/java/frostrelay/node/Site.java
@@ -149,6 +149,11 @@
         return until == null || Clock.now() < until ? classes.get(name) : null;
     }
 
+    /** The longest deadline of a class that the settings name. */
+    long longestDeadline() {
+        return names().stream().mapToLong(name -> settings.classes().get(classes.get(name)).deadline()).max().orElse(0);
+    }
+
     /** The classes that the settings name, those named no more left out. */
     List<String> names() {
         return classes.keySet().stream().filter(name -> !droppedUntil.containsKey(name)).sorted().toList();
--- /dev/null
+++ b/node/src/main/java/frostrelay/node/Violation.java
@@ -0,0 +1,13 @@
+package frostrelay.node;
+
+/** What must never happen and is looked for while the program runs: each is counted and logged. */
+enum Violation {
+    /** A request had no final answer when it was due, or this process ended. */
+    UNANSWERED,
+    /** A connection was closed from this end with a request on it that had no answer. */
+    CLOSED_UNANSWERED,
+    /** An attempt was written though its request was over, its time was up, its server had left, or it may have run before. */
+    WRITTEN_AGAINST_GUARD,
+    /** A server was told more time than the client has left. */
+    TIME_OVERSTATED
+}
--- a/node/src/test/java/frostrelay/node/StopTest.java
+++ b/node/src/test/java/frostrelay/node/StopTest.java
@@ -54,7 +54,7 @@
             assertEquals("MN", idle.ask("mn"));
             busy.write("mg 1 v Olong Pc=read,t=acme,d=9000\r\n");
             host[0].command();
-            Future<?> stopped = rig.loop.submit(() -> rig.node.stop(false)).get();
+            Future<?> stopped = rig.loop.submit(() -> rig.node.stop(false, Clock.now())).get();
             try (Peer late = rig.client()) {
                 assertEquals("VA 65536 O1", late.ask(Rig.READ), "clients still come for a while");
                 late.data(value.length());
@@ -85,7 +85,7 @@
         try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
             client.write(Rig.COPY.replace("O2", "Oheld") + "\r\n");
             assertTrue(host.command() != null);
-            rig.loop.submit(() -> rig.node.stop(false)).get();
+            rig.loop.submit(() -> rig.node.stop(false, Clock.now())).get();
             // With deadlines of 10 s what comes more than 600 ms behind the call could not be answered in time.
             Thread.sleep(800);
             client.write(Rig.COPY + "\r\n" + Rig.PUT + "\r\n");
