--- a/node/src/main/java/frostrelay/lifecycle/ActionGuard.java
+++ b/node/src/main/java/frostrelay/lifecycle/ActionGuard.java
@@ -16,12 +16,17 @@
      */
     private static final long NEWCOMER = 300_000_000L;
 
+    /** Of the 100 ms within which a client that left must be seen to, the rest is for the way of what is sent. */
+    private static final long MOST_UNSEEN = 75_000_000L;
+
     /** Whether an attempt may be written, or why not. */
     public enum Verdict {
         /** It may. */
         ALLOWED,
         /** The request has its final answer, or its client has left. */
         REQUEST_OVER,
+        /** Its client's connection was not looked at for so long that the client may have left unseen. */
+        CLIENT_UNSEEN,
         /** The time to answer the request, or to wait for this attempt, is up. */
         TIME_UP,
         /** The server was told to drain, is gone or is held by operators, and the grace is over. */
@@ -34,12 +39,13 @@
      * What is known of an attempt that is about to be written.
      *
      * @param requestOver whether the request has its final answer or its client has left
+     * @param unseenSince since when its client could have left without being seen to; {@link #NEVER} while it is watched
      * @param cutAt until when the attempt is waited for; its server is told what is left of that
      * @param answerBy when the request's final answer is due
      * @param serverUntil when the last send to the server may begin; {@link #NEVER} while it is in use
      * @param repeatUntil when it may be sent at the latest, for what its earlier attempts may have done; {@link #NEVER} for no limit
      */
-    public record Send(boolean requestOver, long cutAt, long answerBy, long serverUntil, long repeatUntil) {
+    public record Send(boolean requestOver, long unseenSince, long cutAt, long answerBy, long serverUntil, long repeatUntil) {
     }
 
     /** How clients are being sent away; null while they are welcome. */
@@ -62,11 +68,20 @@
         return schedule != null && schedule.shutdown();
     }
 
-    /** Whether a request that has come whole may be accepted; refused, it has no effect. */
+    /** Whether a request that has come whole may be accepted at all at present; refused, it has no effect. */
     public boolean mayAccept(long now) {
         return schedule == null || now < schedule.acceptUntil();
     }
 
+    /**
+     * Whether a client could have left too long ago: nothing is begun for one that left more than 100 ms before.
+     *
+     * @param unseenSince since when it could have left without being seen to; {@link #NEVER} while it is watched
+     */
+    public boolean isUnseen(long now, long unseenSince) {
+        return unseenSince != NEVER && now - unseenSince > MOST_UNSEEN;
+    }
+
     /** When the final answer of a request is due that came at {@code arrivedAt} and whose client waits for {@code wait}. */
     public long answerBy(long arrivedAt, long wait) {
         long clientUntil = arrivedAt + wait;
@@ -78,6 +93,9 @@
         if (send.requestOver) {
             return Verdict.REQUEST_OVER;
         }
+        if (isUnseen(now, send.unseenSince)) {
+            return Verdict.CLIENT_UNSEEN;
+        }
         if (now >= send.cutAt || now >= send.answerBy) {
             return Verdict.TIME_UP;
         }
--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -359,12 +359,13 @@
 
     @Override
     public ActionGuard.Verdict maySend(Attempt attempt, long hostUntil) {
-        return guard.maySend(Clock.now(), facts(attempt, hostUntil));
+        long now = Clock.now();
+        return guard.maySend(now, facts(now, attempt, hostUntil));
     }
 
-    private ActionGuard.Send facts(Attempt attempt, long hostUntil) {
+    private ActionGuard.Send facts(long now, Attempt attempt, long hostUntil) {
         Exchange exchange = attempt.exchange;
-        return new ActionGuard.Send(exchange.over, attempt.cutAt, exchange.answerBy, hostUntil, repeatUntil(attempt));
+        return new ActionGuard.Send(exchange.over, exchange.client.unseenSince(now), attempt.cutAt, exchange.answerBy, hostUntil, repeatUntil(attempt));
     }
 
     /** Until when it does no harm to send an attempt, for what the attempts before it may have done. */
@@ -391,7 +392,7 @@
     @Override
     public void onWritten(Attempt attempt, long hostUntil) {
         long now = Clock.now();
-        ActionGuard.Verdict verdict = guard.maySend(now - ActionGuard.HELD_UP, facts(attempt, hostUntil));
+        ActionGuard.Verdict verdict = guard.maySend(now - ActionGuard.HELD_UP, facts(now, attempt, hostUntil));
         if (verdict != ActionGuard.Verdict.ALLOWED) {
             counters.violated(Violation.WRITTEN_AGAINST_GUARD, attempt.exchange.ask.id() + ": " + verdict);
         }
--- a/node/src/main/java/frostrelay/node/ClientServer.java
+++ b/node/src/main/java/frostrelay/node/ClientServer.java
@@ -57,6 +57,8 @@
     private static final long LINGER_NS = Clock.SECOND;
     /** What comes on a connection that answers nothing more is passed over with such pauses: a flood must not cost much. */
     private static final long PASS_OVER_MS = 50;
+    /** A connection that is read again is given this long before what waits of it is begun. */
+    private static final long READ_FIRST_MS = 2;
     /** No connection that has yet to speak is closed sooner to make room: its command may be on its way. */
     private static final long YOUNG_NS = 100 * Clock.MILLISECOND;
     /** So large a part of all connections without a good command is a crowd. */
@@ -249,6 +251,11 @@
             answer(retryAfterMs > 0 ? "SERVER_ERROR busy " + retryAfterMs + "\r\n" : "SERVER_ERROR busy\r\n", null);
         }
 
+        @Override
+        public long unseenSince(long now) {
+            return connection.readAhead.unseenSince(now);
+        }
+
         @Override
         public void failed() {
             answer("SERVER_ERROR failed\r\n", null);
@@ -339,6 +346,7 @@
         private boolean spoke;
         private int faults;
         private long pausedUntil;
+        private long readFirstUntil;
         /** There was no room for it: all it gets is a refusal. */
         private boolean surplus;
         private boolean quitting;
@@ -486,10 +494,12 @@
         }
 
         private void setReading(boolean on) {
-            if (on) {
-                readAhead.resumes();
-            } else {
+            if (!on) {
                 readAhead.rests();
+            } else if (readAhead.resumes()) {
+                // Its end may have come meanwhile: it is read before anything more of it is begun.
+                readFirstUntil = Clock.now() + READ_FIRST_MS * Clock.MILLISECOND;
+                loop.schedule(adjusting, READ_FIRST_MS, TimeUnit.MILLISECONDS);
             }
             channel.config().setAutoRead(on);
         }
@@ -507,7 +517,8 @@
         }
 
         private boolean mayBegin() {
-            return !quitting && slots.size() < MOST_PIPELINED && channel.isWritable() && Clock.now() >= pausedUntil;
+            return !quitting && !readAhead.isBehind() && slots.size() < MOST_PIPELINED && channel.isWritable()
+                    && Clock.now() >= Math.max(pausedUntil, readFirstUntil);
         }
 
         /**
@@ -585,8 +596,9 @@
         }
 
         private void request(Slot slot, Arrived next) {
-            if (surplus || !guard.mayAccept(Clock.now())) {
-                counters.refused(surplus ? RefusalReason.NO_CONNECTION_ROOM : RefusalReason.NOT_ACCEPTING);
+            RefusalReason refusal = refusal(Clock.now());
+            if (refusal != null) {
+                counters.refused(refusal);
                 slot.answer("SERVER_ERROR busy\r\n", null);
                 return;
             }
@@ -601,6 +613,17 @@
             }
         }
 
+        /** Why no request of this connection is accepted now; null if they are. */
+        private RefusalReason refusal(long now) {
+            if (surplus) {
+                return RefusalReason.NO_CONNECTION_ROOM;
+            }
+            if (!guard.mayAccept(now)) {
+                return RefusalReason.NOT_ACCEPTING;
+            }
+            return guard.isUnseen(now, readAhead.unseenSince(now)) ? RefusalReason.CLIENT_UNSEEN : null;
+        }
+
         /** Writes the answers that no earlier command has to come before. */
         void flushReady() {
             if (reading || gone) {
@@ -666,14 +689,13 @@
                 // A client that does not read its answers must not take the memory of the others.
                 close(CloseReason.ANSWERS_UNREAD);
                 return;
-            } else if (isDone() && !leaving) {
-                beIdle();
-            } else if (!arrived.isEmpty() || !readAhead.isEmpty()) {
-                if (mayBegin()) {
-                    beginSoon();
-                }
             }
             setReading(readAhead.hasRoom() && Clock.now() >= pausedUntil);
+            if (isDone() && !leaving) {
+                beIdle();
+            } else if ((!arrived.isEmpty() || !readAhead.isEmpty()) && mayBegin()) {
+                beginSoon();
+            }
         }
 
         /**
--- a/node/src/main/java/frostrelay/node/Exchange.java
+++ b/node/src/main/java/frostrelay/node/Exchange.java
@@ -1,5 +1,6 @@
 package frostrelay.node;
 
+import frostrelay.lifecycle.ActionGuard;
 import frostrelay.policy.Api;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
@@ -16,6 +17,9 @@
         void refused(long retryAfterMs);
 
         void failed();
+
+        /** Since when the client could have left without being seen to; {@link ActionGuard#NEVER} while it is watched. */
+        long unseenSince(long now);
     }
 
     final long id;
--- a/node/src/main/java/frostrelay/node/ReadAhead.java
+++ b/node/src/main/java/frostrelay/node/ReadAhead.java
@@ -1,5 +1,6 @@
 package frostrelay.node;
 
+import frostrelay.lifecycle.ActionGuard;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -68,7 +69,11 @@
     /** Since when nothing was read on purpose, and when that ended; what is read right behind may have come at the first. 0 for neither. */
     private long restsSince;
     private long resumedAt;
+    /** Since when more may have come than was read; 0 while all has been. */
+    private long behindSince;
     private int reads;
+    /** Turns of the loop in which it was read. */
+    private long turns;
     private boolean discards;
 
     ReadAhead(Listener listener, Total total, int readsAtOnce) {
@@ -91,6 +96,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf bytes = (ByteBuf) message;
         reads++;
+        behindSince = behindSince == 0 ? Clock.now() : behindSince;
         if (discards) {
             bytes.release();
             return;
@@ -121,9 +127,18 @@
         resumedAt = 0;
     }
 
-    /** It is read again. */
-    void resumes() {
-        resumedAt = restsSince != 0 && resumedAt == 0 ? Clock.now() : resumedAt;
+    /** It is read again; true if it was not until now. */
+    boolean resumes() {
+        boolean rested = restsSince != 0 && resumedAt == 0;
+        resumedAt = rested ? Clock.now() : resumedAt;
+        return rested;
+    }
+
+    /** Since when the end of the connection would not be seen; {@link ActionGuard#NEVER} while it would. */
+    long unseenSince(long now) {
+        boolean rested = restsSince != 0 && (resumedAt == 0 || now - resumedAt <= RESUME_NS);
+        long since = rested ? restsSince : ActionGuard.NEVER;
+        return behindSince == 0 ? since : Math.min(since, behindSince);
     }
 
     private void forgetRest() {
@@ -136,22 +151,43 @@
         return arrivedAt;
     }
 
-    /** Where as much was read as is at once, the end of the connection may stand right behind: the next turn looks for it first. */
+    /** Where as much was read as is at once, nothing is begun before the next turn has looked for more, and for the end. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         boolean more = reads >= readsAtOnce && hasRoom();
         boolean some = reads > 0;
         if (some && reads < readsAtOnce) {
-            forgetRest();
+            caughtUp();
         }
         reads = 0;
+        turns++;
         if (more) {
-            ctx.executor().schedule(() -> listener.onRead(true), NEXT_TURN_MS, TimeUnit.MILLISECONDS);
+            awaitNextTurn(turns);
         } else {
             listener.onRead(some);
         }
     }
 
+    /** What a task of this turn schedules runs in the next one, behind its reads: if there were none, all had been read. */
+    private void awaitNextTurn(long turn) {
+        context.executor().schedule(() -> context.executor().schedule(() -> {
+            if (turn == turns) {
+                caughtUp();
+                listener.onRead(true);
+            }
+        }, NEXT_TURN_MS, TimeUnit.MILLISECONDS), NEXT_TURN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void caughtUp() {
+        forgetRest();
+        behindSince = 0;
+    }
+
+    /** Whether it is being read and more may have come: the end of the connection may stand right behind. */
+    boolean isBehind() {
+        return behindSince != 0 && restsSince == 0;
+    }
+
     /** Whether to read on: one connection alone, or all together, may leave so much unserved. */
     boolean hasRoom() {
         return !held.isReadable() || held.readableBytes() < MOST && total.bytes < Total.MOST_ALL;
--- a/node/src/main/java/frostrelay/node/RefusalReason.java
+++ b/node/src/main/java/frostrelay/node/RefusalReason.java
@@ -8,6 +8,8 @@
     NOT_ACCEPTING,
     /** Its connection came while there was no room for it. */
     NO_CONNECTION_ROOM,
+    /** Its client may have left: more of what it sent waits than is read ahead, and the end of its connection would not be seen. */
+    CLIENT_UNSEEN,
     /** As many requests are open as may be. */
     TOO_MANY_OPEN,
     /** There is no memory for its value. */
--- a/node/src/test/java/frostrelay/node/OrderTest.java
+++ b/node/src/test/java/frostrelay/node/OrderTest.java
@@ -309,6 +309,11 @@
             public void failed() {
                 answers.add("failed");
             }
+
+            @Override
+            public long unseenSince(long now) {
+                return ActionGuard.NEVER;
+            }
         };
         try {
             Command command = new Command(MetaFrame.of(List.of("ms", "1", "1", "O1", "Pc=copy,t=acme,d=100"), new byte[] {'x'}),
--- a/node/src/test/java/frostrelay/node/Rig.java
+++ b/node/src/test/java/frostrelay/node/Rig.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
 /** A balancer on an ephemeral port, with the hosts and settings that a test gives it. */
@@ -57,6 +58,8 @@
     /** Where operators call; nowhere if null. */
     String console;
     Balancer.Module module = Router::new;
+    /** What is done to the text of the settings. */
+    UnaryOperator<String> rewrite = UnaryOperator.identity();
     Node node;
     EventLoop loop;
     private NioEventLoopGroup group;
@@ -74,9 +77,10 @@
     }
 
     String settings() {
-        return String.format(Locale.ROOT, SETTINGS, deadlineMs, idleMs, connectMs, maxOpen,
+        String text = String.format(Locale.ROOT, SETTINGS, deadlineMs, idleMs, connectMs, maxOpen,
                 graceMs * Clock.MILLISECOND, aimMs).replace("\"cancelling\":true", "\"cancelling\":" + cancelling)
                 .replace("\"discovery\":\"subscribe\"", "\"discovery\":\"" + (pushed ? "automatic" : "subscribe") + "\"");
+        return rewrite.apply(text);
     }
 
     String config(String listen) {
--- a/node/src/test/java/frostrelay/node/StopTest.java
+++ b/node/src/test/java/frostrelay/node/StopTest.java
@@ -102,7 +102,7 @@
         return start(config, folder);
     }
 
-    private static Process start(String config, Path shared) throws IOException {
+    static Process start(String config, Path shared) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-cp", System.getProperty("java.class.path"),
                 "frostrelay.node.Main");
