--- a/cli/src/main/java/frostrelay/cli/CampaignCommand.java
+++ b/cli/src/main/java/frostrelay/cli/CampaignCommand.java
@@ -67,8 +67,9 @@
     @Option(names = "--matter", paramLabel = "NAME", defaultValue = "audit", description = "What is checked (${DEFAULT-VALUE}).")
     private String matter;
 
-    @Option(names = "--seeds", paramLabel = "A..B", defaultValue = "1..4", description = "Schedules drawn (${DEFAULT-VALUE}).")
-    private String seeds;
+    @Option(names = "--seeds", paramLabel = "A..B", defaultValue = "1..4", converter = SeedRange.Converter.class,
+            description = "Schedules drawn (${DEFAULT-VALUE}).")
+    private SeedRange seeds;
 
     @Option(names = "--processes", paramLabel = "N", defaultValue = "5", description = "Balancers, 2 to 12 (${DEFAULT-VALUE}).")
     private int processes;
@@ -159,11 +160,7 @@
             files.forEach(file -> schedules.add(ScheduleFile.read(found(file))));
             return schedules;
         }
-        check(seeds.matches("\\d{1,9}(\\.\\.\\d{1,9})?"), "--seeds: found " + seeds + ", allowed: A..B");
-        String[] ends = seeds.split("\\.\\.");
-        long last = Long.parseLong(ends[ends.length - 1]);
-        check(last >= Long.parseLong(ends[0]), "--seeds: found " + seeds + ", allowed: A..B with A at most B");
-        for (long seed = Long.parseLong(ends[0]); seed <= last; seed++) {
+        for (long seed = seeds.first(); seed <= seeds.last(); seed++) {
             schedules.add(Matter.of(matter).drawn(seed, processes, (long) (seconds * SECOND)));
         }
         return schedules;
--- a/cli/src/main/java/frostrelay/cli/Main.java
+++ b/cli/src/main/java/frostrelay/cli/Main.java
@@ -10,7 +10,7 @@
         synopsisSubcommandLabel = "COMMAND", footerHeading = "%nExit codes:%n",
         footer = {"  0  done", "  1  failed", "  2  wrong usage"},
         subcommands = {DemoCommand.class, ServeCommand.class, CheckCommand.class, FleetCommand.class,
-            LoadCommand.class, FaultCommand.class, BenchCommand.class, CampaignCommand.class, AuditCommand.class, StragglersCommand.class,
+            LoadCommand.class, FaultCommand.class, BenchCommand.class, CampaignCommand.class, SoakCommand.class, AuditCommand.class, StragglersCommand.class,
             JudgementsCommand.class, CountsCommand.class, LabCommand.class, RelayCommand.class,
             AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class})
 public final class Main implements Runnable {
--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -44,8 +44,8 @@
     private static final long FIRST_LIST_MS = 2_000;
     /** Past its deadline by this, a request that the module has left open is answered here. */
     private static final long LAST_CALL = Clock.MILLISECOND;
-    /** A final answer that is later than this breaks what clients are promised. */
-    private static final long MOST_LATE = 50 * Clock.MILLISECOND;
+    /** A final answer that is later than this has another cause than a process that was held up for as long as it may be. */
+    private static final long MOST_LATE = ActionGuard.HELD_UP + 50 * Clock.MILLISECOND;
 
     /** Makes the decision module, given where its actions go. */
     interface Module {
--- a/node/src/main/java/frostrelay/node/ReadAhead.java
+++ b/node/src/main/java/frostrelay/node/ReadAhead.java
@@ -156,7 +156,7 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         boolean more = reads >= readsAtOnce && hasRoom();
         boolean some = reads > 0;
-        if (some && reads < readsAtOnce) {
+        if (reads < readsAtOnce) {
             caughtUp();
         }
         reads = 0;
--- a/rig/src/main/java/frostrelay/rig/cache/CacheServer.java
+++ b/rig/src/main/java/frostrelay/rig/cache/CacheServer.java
@@ -42,6 +42,7 @@
     /** Work differs from what the command's hint says by at most this part, by the request's id. */
     private static final double HINT_ERROR = 0.15;
     private static final long MICROSECOND = 1_000L;
+    private static final long MILLISECOND = 1_000_000L;
     private static final long DEFAULT_WORK_US = 1_000;
     private static final long START_MS = 50;
 
@@ -254,6 +255,10 @@
         double work = work(job);
         if (!job.id.isEmpty()) {
             referee.received(now, name, job.connection.balancer, job.id, work);
+            String waited = job.command.figure("d");
+            if (waited != null) {
+                referee.told(now, name, job.connection.balancer, job.id, now + Long.parseLong(waited) * MILLISECOND);
+            }
             referee.watcher().command(now, name, job.connection.balancer, job.id);
         }
         if (meter != null && meter.reached(now, work)) {
--- a/rig/src/main/java/frostrelay/rig/client/Tally.java
+++ b/rig/src/main/java/frostrelay/rig/client/Tally.java
@@ -10,7 +10,7 @@
  */
 public final class Tally {
     /** How a first try ended, over all its tries. */
-    public enum End { IN_TIME, LATE, REFUSED, FAILED, LOST, EXCUSED }
+    public enum End { IN_TIME, LATE, REFUSED, FAILED, LOST, EXCUSED, LEFT }
 
     private static final long MOST_MICROS = 120_000_000L;
     private static final int DIGITS = 3;
--- a/rig/src/main/java/frostrelay/rig/day/DayFile.java
+++ b/rig/src/main/java/frostrelay/rig/day/DayFile.java
@@ -69,7 +69,9 @@
                         .whole("retries", 2L, 0, 100, "Tries after the first.")
                         .duration("backoff", "100ms", "0ms", "60s", "Least wait before a further try.")
                         .number("patience-least", 0.5, 0.05, 1, "A try is given up after so much of the deadline,")
-                        .number("patience-most", 0.8, 0.05, 1, "or up to so much."))
+                        .number("patience-most", 0.8, 0.05, 1, "or up to so much.")
+                        .number("leaves", 0.0, 0, 1, "Tries whose client closes its connection before that.")
+                        .number("slow", 0.0, 0, 1, "Tries that are written in two pieces, some time apart."))
                 .list("class", 64, new Table("A class of requests; shares add up to 1.")
                         .text("name", null, "As clients and balancers name it.")
                         .number("share", null, 0, 1, "Its part of all requests.")
@@ -157,7 +159,8 @@
                 (int) fleet.whole("balancers"), fleet.whole("discovery-lateness"), fleet.whole("drain-grace"), fleet.whole("repeat-window"),
                 cache(values.table("cache")), archive(values.table("archive")), new LoadSpec(load.number("rate"),
                 (int) load.whole("keys"), load.number("zipf"), (int) load.whole("retries"), load.whole("backoff"),
-                load.number("patience-least"), load.number("patience-most")), classes, tenants, faults);
+                load.number("patience-least"), load.number("patience-most"), load.number("leaves"),
+                load.number("slow")), classes, tenants, faults);
     }
 
     private static ClassSpec requestClass(Values one) {
--- a/rig/src/main/java/frostrelay/rig/day/FaultKind.java
+++ b/rig/src/main/java/frostrelay/rig/day/FaultKind.java
@@ -13,6 +13,10 @@
     DISCOVERY_OUTAGE("discovery-outage", Meets.NOBODY, false), DISCOVERY_LATE("discovery-late", Meets.NOBODY, false),
     WATCH_SILENT("watch-silent", Meets.NOBODY, false),
     BALANCER_KILL("balancer-kill", Meets.BALANCER, false), BALANCER_RESTART("balancer-restart", Meets.BALANCER, false),
+    /** SIGTERM, SIGKILL as soon as the operators' terms allow it, and a new start. */
+    BALANCER_STOP("balancer-stop", Meets.BALANCER, false),
+    /** The process stands still for the amount. */
+    BALANCER_PAUSE("balancer-pause", Meets.BALANCER, false),
     RELOAD("reload", Meets.BALANCER, false), SURGE("surge", Meets.NOBODY, true);
 
     /** Whom a fault meets. */
--- a/rig/src/main/java/frostrelay/rig/fleet/BalancerProcess.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/BalancerProcess.java
@@ -96,6 +96,11 @@
         process.destroyForcibly();
     }
 
+    /** Asks it to end, and does not wait for that. */
+    public synchronized void askToEnd() {
+        process.destroy();
+    }
+
     /** Asks it to end, waits for that up to a limit in milliseconds, and ends it at once past that. */
     public void terminate(long limitMs) throws InterruptedException {
         Process ending;
--- a/rig/src/main/java/frostrelay/rig/fleet/Faults.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/Faults.java
@@ -2,6 +2,7 @@
 
 import frostrelay.rig.client.Front;
 import frostrelay.rig.client.OpenLoop;
+import frostrelay.rig.day.ClassSpec;
 import frostrelay.rig.day.FaultKind;
 import frostrelay.rig.day.FaultSpec;
 import frostrelay.rig.day.Targets;
@@ -14,7 +15,11 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -27,15 +32,24 @@
  * day's seed, in the order of the calls. Calls that wait run on a thread of its own.
  */
 public final class Faults implements AutoCloseable {
+    /** Under these, commands reach a cache later than they were sent. */
+    private static final Set<FaultKind> DELAYING = EnumSet.of(FaultKind.SILENCE, FaultKind.LINK_DELAY, FaultKind.LINK_STALL,
+            FaultKind.LINK_NARROW);
     private static final Duration CALL = Duration.ofSeconds(2);
     private static final long STOP_MS = 4_000;
     private static final long RESTART_MS = 300;
+    /** SIGKILL may follow SIGTERM after the longest deadline, counted as 3 s at most, and this. */
+    private static final long KILL_AFTER = 700_000_000L;
+    private static final long MOST_DEADLINE = 3_000_000_000L;
+    /** No signal goes to a balancer sooner after its start: before its handlers are there, any of them would end it. */
+    private static final long SETTLED = 3_000_000_000L;
 
     private final Fleet fleet;
     private final Front front;
     private final OpenLoop load;
     private final Consumer<String> told;
     private final UniformRandomProvider random;
+    private final Map<Integer, Long> unsettledUntil = new HashMap<>();
     private final HttpClient http = HttpClient.newBuilder().connectTimeout(CALL).build();
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread fresh = new Thread(task, "faults");
@@ -114,6 +128,9 @@
     }
 
     private void set(FaultSpec fault, int place, boolean on) throws IOException, InterruptedException {
+        if (DELAYING.contains(fault.kind())) {
+            fleet.referee().delayed(System.nanoTime(), fleet.caches().get(place).server().name(), on);
+        }
         switch (fault.kind()) {
             case KILL, RESTART, SLOW, SILENCE, DRAIN, HOLD -> cache(fault, place, on);
             case LINK_DELAY -> fleet.caches().get(place).links().forEach(link -> link.delay(on ? fault.amount() : 0));
@@ -134,7 +151,7 @@
                     fleet.discovery().silenceWatches(fault.amount());
                 }
             }
-            case BALANCER_KILL, BALANCER_RESTART, RELOAD -> balancer(fault, place, on);
+            case BALANCER_KILL, BALANCER_RESTART, BALANCER_STOP, BALANCER_PAUSE, RELOAD -> balancer(fault, place, on);
             default -> {
                 if (load != null) {
                     load.surge(on ? fault.factor() : 1);
@@ -197,12 +214,27 @@
         if (balancer.process() == null) {
             throw new IOException(balancer.name() + " was started by hand");
         }
+        if (on && unsettledUntil.getOrDefault(place, Long.MIN_VALUE) > System.nanoTime()) {
+            told.accept(balancer.name() + " is still ending or starting: passed over");
+            return;
+        }
         switch (fault.kind()) {
             case RELOAD -> {
                 if (on) {
                     balancer.process().hangUp();
                 }
             }
+            case BALANCER_STOP -> {
+                if (on) {
+                    stop(place);
+                }
+            }
+            case BALANCER_PAUSE -> {
+                if (on) {
+                    balancer.process().signal("STOP");
+                    thread.schedule(() -> resume(balancer), fault.amount(), TimeUnit.NANOSECONDS);
+                }
+            }
             case BALANCER_KILL -> {
                 if (on) {
                     stopped(place);
@@ -223,6 +255,48 @@
         }
     }
 
+    private void resume(Fleet.Place balancer) {
+        try {
+            balancer.process().signal("CONT");
+        } catch (IOException e) {
+            told.accept(balancer.name() + " could not be resumed: " + e);
+        }
+    }
+
+    /** SIGTERM now, SIGKILL as soon as the terms allow, and then a new start; none of them is waited for. */
+    private void stop(int place) {
+        Fleet.Place balancer = fleet.balancers().get(place);
+        long longest = fleet.day().classes().stream().mapToLong(ClassSpec::deadline).max().orElse(0);
+        long grace = Math.min(longest, MOST_DEADLINE) + KILL_AFTER;
+        long terminatedAt = System.nanoTime();
+        unsettledUntil.put(place, terminatedAt + grace + SETTLED);
+        if (front != null) {
+            front.terminated(place, terminatedAt);
+        }
+        balancer.process().askToEnd();
+        thread.schedule(() -> killAndStart(place), terminatedAt + grace - System.nanoTime(), TimeUnit.NANOSECONDS);
+    }
+
+    private void killAndStart(int place) {
+        Fleet.Place balancer = fleet.balancers().get(place);
+        if (front != null) {
+            front.killed(place, System.nanoTime());
+        }
+        balancer.process().kill();
+        thread.schedule(() -> {
+            try {
+                fleet.referee().forgets(balancer.name());
+                balancer.process().start();
+                fleet.referee().starts(System.nanoTime(), balancer.name());
+                if (front != null) {
+                    front.started(place);
+                }
+            } catch (IOException e) {
+                told.accept(balancer.name() + " could not be started: " + e);
+            }
+        }, RESTART_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void stopped(int place) {
         fleet.referee().forgets(fleet.balancers().get(place).name());
         if (front != null) {
--- a/rig/src/main/java/frostrelay/rig/fleet/Fleet.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/Fleet.java
@@ -123,6 +123,7 @@
     public void startBalancers() throws IOException, InterruptedException {
         for (Place place : places) {
             place.process.start();
+            referee.starts(System.nanoTime(), place.name);
         }
         for (Place place : places) {
             place.process.awaitReady();
--- a/rig/src/main/java/frostrelay/rig/referee/ClientWatch.java
+++ b/rig/src/main/java/frostrelay/rig/referee/ClientWatch.java
@@ -10,6 +10,14 @@
     default void asked(long now, String id, String intent, Referee.Effect effect) {
     }
 
+    /** How long the client of a request waits, from the moment at which it sent. */
+    default void waits(String id, long until) {
+    }
+
+    /** The client of a request has closed its connection; nothing is owed any more. */
+    default void left(long now, String id) {
+    }
+
     /** A final answer came. {@code content}: what identifies a value or receipt, for served requests. */
     default void answered(String id, Referee.Ending ending, long content) {
     }
--- a/rig/src/main/java/frostrelay/rig/referee/Referee.java
+++ b/rig/src/main/java/frostrelay/rig/referee/Referee.java
@@ -62,6 +62,12 @@
     private static final int MOST_KEPT_BREACHES = 100;
     /** Requests this much older than the newest are forgotten: nothing can come for them any more. */
     private static final long FORGET = 60_000_000_000L;
+    /** The operators allow 100 ms; the rest is for how late the stand-ins may be themselves. */
+    private static final long BEGUN_AFTER_LEFT = 250_000_000L;
+    /** The operators allow 150 ms; likewise. */
+    private static final long OVERSTATED = 300_000_000L;
+    private static final long DELAYED_BEHIND = 1_000_000_000L;
+    private static final long SLOW_START = 4_000_000_000L;
     private static final long BOTH_SHARES = 2;
     private static final long THREE_SHARES = 3;
 
@@ -71,6 +77,8 @@
         final long at;
         Ending ending;
         boolean closed;
+        long waitsUntil = Long.MAX_VALUE;
+        long leftAt = Long.MAX_VALUE;
         int received;
         int runs;
         final Set<Long> made = new HashSet<>(2);
@@ -88,6 +96,10 @@
     private final Map<String, long[]> runs = new LinkedHashMap<>();
     /** Since when a balancer knows that a cache is not to be used. */
     private final Map<String, Long> drained = new HashMap<>();
+    /** Until when commands may reach a cache later than they were sent, through no fault of a balancer. */
+    private final Map<String, Long> delayedUntil = new HashMap<>();
+    /** Until when a balancer that has just started may be slow to read: many start on one machine at once. */
+    private final Map<String, Long> slowUntil = new HashMap<>();
     private final Map<String, ColdMeter> allWork = new HashMap<>();
     private final Map<String, ColdMeter> knowingWork = new HashMap<>();
     private final Set<String> knowing = new HashSet<>();
@@ -131,6 +143,23 @@
         }
     }
 
+    @Override
+    public synchronized void waits(String id, long until) {
+        Request request = requests.get(id);
+        if (request != null) {
+            request.waitsUntil = until;
+        }
+    }
+
+    @Override
+    public synchronized void left(long now, String id) {
+        Request request = requests.get(id);
+        if (request != null) {
+            request.closed = true;
+            request.leftAt = now;
+        }
+    }
+
     @Override
     public synchronized void answered(String id, Ending ending, long content) {
         Request request = requests.get(id);
@@ -186,6 +215,13 @@
         if (request != null && request.received++ == 0) {
             firsts++;
         }
+        if (isDelayed(now, cache)) {
+            return;
+        }
+        if (request != null && request.leftAt != Long.MAX_VALUE && now - request.leftAt > BEGUN_AFTER_LEFT) {
+            breach(Rule.BEGUN_AFTER_CLIENT_LEFT, String.format("%s reached %s from %s %d ms after its client left", id, cache, balancer,
+                    (now - request.leftAt) / 1_000_000));
+        }
         Long since = drained.get(balancer + ' ' + cache);
         if (since != null && now - since > bounds.drain) {
             breach(Rule.DRAIN_IGNORED, String.format("%s reached %s %d ms after %s was told", id, cache,
@@ -204,6 +240,27 @@
         }
     }
 
+    /** From now on commands may reach a cache late, for as long as it is on and a while behind. */
+    public synchronized void delayed(long now, String cache, boolean on) {
+        delayedUntil.merge(cache, on ? Long.MAX_VALUE : now + DELAYED_BEHIND, on ? Math::max : (old, fresh) -> fresh);
+    }
+
+    private boolean isDelayed(long now, String cache) {
+        return now < delayedUntil.getOrDefault(cache, Long.MIN_VALUE);
+    }
+
+    /** A command came that says for how long it is waited for: until {@code until}. */
+    public synchronized void told(long now, String cache, String balancer, String id, long until) {
+        Request request = requests.get(id);
+        if (isDelayed(now, cache) || now < slowUntil.getOrDefault(balancer, Long.MIN_VALUE)) {
+            return;
+        }
+        if (request != null && request.waitsUntil != Long.MAX_VALUE && until - request.waitsUntil > OVERSTATED) {
+            breach(Rule.WAIT_OVERSTATED, String.format("%s from %s told %s %d ms more than its client waits", id, balancer, cache,
+                    (until - request.waitsUntil) / 1_000_000));
+        }
+    }
+
     /** A command took effect. {@code key}: its idempotency key, or null. */
     public synchronized void ran(long now, String id, String key) {
         Request request = requests.get(id);
@@ -254,6 +311,11 @@
         knowing.add(balancer + ' ' + cache);
     }
 
+    /** A balancer has been started and reads its first requests by code that has not run before. */
+    public synchronized void starts(long now, String balancer) {
+        slowUntil.put(balancer, now + SLOW_START);
+    }
+
     /** A balancer starts anew and knows nothing yet. */
     public synchronized void forgets(String balancer) {
         knowing.removeIf(pair -> pair.startsWith(balancer + ' '));
--- a/rig/src/main/java/frostrelay/rig/referee/Rule.java
+++ b/rig/src/main/java/frostrelay/rig/referee/Rule.java
@@ -16,6 +16,10 @@
     FOREIGN_ANSWER,
     /** Work was sent to a cache too long after the balancer was told that it drains or is gone. */
     DRAIN_IGNORED,
+    /** Work was begun at a cache too long after its client had closed its connection. */
+    BEGUN_AFTER_CLIENT_LEFT,
+    /** A cache was told that it is waited for longer than the client still waits. */
+    WAIT_OVERSTATED,
     /** A cache that had just started was sent more than it can bear. */
     COLD_OVERDRIVEN
 }
