--- a/rig/src/main/java/frostrelay/rig/fleet/Fleet.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/Fleet.java
@@ -77,6 +77,8 @@
         this.day = day;
         referee = new Referee(new Referee.Bounds(day.drainGrace() + DRAIN_SLACK, day.cache().warmth().window(),
                 day.cache().warmth(), day.cache().cores()));
+        LoopMonitor monitor = new LoopMonitor(group);
+        referee.heldUpWhile(monitor::isBehind);
         archive = new ArchiveServer(day.archive(), group.next(), day.seed());
         discovery = new DiscoveryServer(group.next(), referee, day.lateness());
         InetSocketAddress source = archive.start();
--- a/rig/src/main/java/frostrelay/rig/referee/Referee.java
+++ b/rig/src/main/java/frostrelay/rig/referee/Referee.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongPredicate;
 
 /**
  * Watches both ends and counts what a balancer broke. It hears from clients what they asked and got, from caches what
@@ -108,12 +109,19 @@
     private long attempts;
     private long firsts;
     private volatile Watcher watcher = NOBODY;
+    /** Whether the stand-ins were held up themselves, so that what they see may have come earlier. */
+    private LongPredicate heldUp = now -> false;
 
     /** {@code bounds}: the figures of the rules. */
     public Referee(Bounds bounds) {
         this.bounds = bounds;
     }
 
+    /** Under this, how long a command took on its way says nothing of its balancer. */
+    public synchronized void heldUpWhile(LongPredicate predicate) {
+        heldUp = predicate;
+    }
+
     /** From now on this one hears what the stand-ins see. */
     public void watch(Watcher fresh) {
         watcher = fresh;
@@ -218,7 +226,7 @@
         if (isDelayed(now, cache)) {
             return;
         }
-        if (request != null && request.leftAt != Long.MAX_VALUE && now - request.leftAt > BEGUN_AFTER_LEFT) {
+        if (request != null && !heldUp.test(now) && request.leftAt != Long.MAX_VALUE && now - request.leftAt > BEGUN_AFTER_LEFT) {
             breach(Rule.BEGUN_AFTER_CLIENT_LEFT, String.format("%s reached %s from %s %d ms after its client left", id, cache, balancer,
                     (now - request.leftAt) / 1_000_000));
         }
@@ -252,7 +260,7 @@
     /** A command came that says for how long it is waited for: until {@code until}. */
     public synchronized void told(long now, String cache, String balancer, String id, long until) {
         Request request = requests.get(id);
-        if (isDelayed(now, cache) || now < slowUntil.getOrDefault(balancer, Long.MIN_VALUE)) {
+        if (isDelayed(now, cache) || heldUp.test(now) || now < slowUntil.getOrDefault(balancer, Long.MIN_VALUE)) {
             return;
         }
         if (request != null && request.waitsUntil != Long.MAX_VALUE && until - request.waitsUntil > OVERSTATED) {
--- a/rig/src/main/java/frostrelay/rig/soak/SoakPlan.java
+++ b/rig/src/main/java/frostrelay/rig/soak/SoakPlan.java
@@ -29,6 +29,8 @@
     /** Faults begin once every balancer serves for a while, and early enough for their consequences to be seen. */
     private static final long FIRST_FAULT = SECOND;
     private static final long LAST_FAULT = 11 * SECOND;
+    /** A balancer that is stopped then is killed and starts again before the end, whatever the deadlines. */
+    private static final long LAST_STOP = 9 * SECOND;
     private static final double REQUESTS_PER_BALANCER = 15;
 
     private final UniformRandomProvider random;
@@ -84,20 +86,22 @@
         long stops = between(balancers / 3 + 1, balancers);
         for (int i = 0; i < stops; i++) {
             String target = "balancer-" + (1 + random.nextInt(balancers));
-            faults.add(new FaultSpec(moment(), FaultKind.BALANCER_STOP, target, 1, 0, 0));
+            faults.add(new FaultSpec(moment(LAST_STOP), FaultKind.BALANCER_STOP, target, 1, 0, 0));
         }
     }
 
-    /** A part of the caches hang, some more than once: what is sent to them has no answer. */
+    /** A part of the caches hang, some more than once: what is sent to them has no answer. One hang lies over a stop in any case. */
     private void hangSome(int caches, List<FaultSpec> faults) {
+        long beforeStop = faults.get(0).at() - between(0, 300) * MS;
+        faults.add(new FaultSpec(beforeStop, FaultKind.SILENCE, anyOf(caches), 1, 0, between(1_500, 3_500) * MS));
         long hangs = between(2, caches);
         for (int i = 0; i < hangs; i++) {
-            faults.add(new FaultSpec(moment(), FaultKind.SILENCE, anyOf(caches), 1, 0, between(500, 3_500) * MS));
+            faults.add(new FaultSpec(moment(LAST_FAULT), FaultKind.SILENCE, anyOf(caches), 1, 0, between(500, 3_500) * MS));
         }
     }
 
     private FaultSpec further(int caches) {
-        long at = moment();
+        long at = moment(LAST_FAULT);
         long length = between(300, 3_000) * MS;
         return switch (random.nextInt(15)) {
             case 0 -> new FaultSpec(at, FaultKind.KILL, anyOf(caches), 1, 0, length);
@@ -118,8 +122,8 @@
         };
     }
 
-    private long moment() {
-        return FIRST_FAULT + (long) (random.nextDouble() * (LAST_FAULT - FIRST_FAULT));
+    private long moment(long last) {
+        return FIRST_FAULT + (long) (random.nextDouble() * (last - FIRST_FAULT));
     }
 
     /** Up to a half of all caches. */
--- a/rig/src/test/java/frostrelay/rig/referee/RefereeTest.java
+++ b/rig/src/test/java/frostrelay/rig/referee/RefereeTest.java
@@ -101,7 +101,7 @@
                 new Case(Fault.ENDS_THE_CONNECTION, "", EnumSet.of(Rule.NO_ANSWER)),
                 new Case(Fault.ANSWERS_TWICE, "", EnumSet.of(Rule.TWO_ANSWERS, Rule.FOREIGN_ANSWER)),
                 new Case(Fault.SENDS_USES_TWICE, "", EnumSet.of(Rule.RAN_TWICE)),
-                new Case(Fault.SENDS_NOTES_LATE_AGAIN, "", EnumSet.of(Rule.KEYED_TWICE)),
+                new Case(Fault.SENDS_NOTES_LATE_AGAIN, "", EnumSet.of(Rule.KEYED_TWICE, Rule.WAIT_OVERSTATED)),
                 new Case(Fault.REFUSES_WHAT_RAN, "", EnumSet.of(Rule.REFUSED_BUT_RAN, Rule.RAN_TWICE)),
                 new Case(Fault.MIXES_VALUES_UP, "", EnumSet.of(Rule.FOREIGN_ANSWER)),
                 new Case(Fault.MAKES_RECEIPTS_UP, "", EnumSet.of(Rule.FOREIGN_ANSWER)),
