--- a/cli/src/main/java/frostrelay/cli/Main.java
+++ b/cli/src/main/java/frostrelay/cli/Main.java
@@ -5,7 +5,7 @@
 import picocli.CommandLine.Command;
 
 /** The program for people: everything that can be done with frostrelay from a terminal. */
-@Command(name = "frostrelay", mixinStandardHelpOptions = true, version = "frostrelay 0.6.0",
+@Command(name = "frostrelay", mixinStandardHelpOptions = true, version = "frostrelay 0.7.0",
         description = "A balancer for fleets of caches, with a fleet of stand-ins to try it on.",
         synopsisSubcommandLabel = "COMMAND", footerHeading = "%nExit codes:%n",
         footer = {"  0  done", "  1  failed", "  2  wrong usage"},
--- a/cli/src/main/java/frostrelay/cli/SoakCommand.java
+++ b/cli/src/main/java/frostrelay/cli/SoakCommand.java
@@ -94,9 +94,9 @@
     private static String line(long seed, SoakPlay.Outcome outcome) {
         Result result = outcome.result();
         return String.format(Locale.ROOT, "seed %d: %d balancers, %d caches, %d faults; %,d requests, %.1f%% in time, %d excused, "
-                + "%d clients left; %s", seed, outcome.day().balancers(), outcome.day().caches(), outcome.day().faults().size(),
+                + "%d clients left; stand-ins stood still for %d ms; %s", seed, outcome.day().balancers(), outcome.day().caches(), outcome.day().faults().size(),
                 result.tally().asked(), 100.0 * result.tally().count(Tally.End.IN_TIME) / Math.max(1, result.tally().asked()),
-                result.tally().count(Tally.End.EXCUSED), result.tally().count(Tally.End.LEFT),
+                result.tally().count(Tally.End.EXCUSED), result.tally().count(Tally.End.LEFT), outcome.stallMs(),
                 outcome.findings().isEmpty() ? "all kept" : outcome.findings().size() + " findings");
     }
 
@@ -105,6 +105,7 @@
         play.put("seed", seed);
         play.put("balancers", outcome.day().balancers());
         play.put("faults", outcome.day().faults().size());
+        play.put("stallMs", outcome.stallMs());
         play.put("findings", outcome.findings());
         play.put("result", outcome.result().json());
         return play;
--- a/rig/src/main/java/frostrelay/rig/fleet/Faults.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/Faults.java
@@ -236,6 +236,7 @@
                 }
             }
             case BALANCER_KILL -> {
+                unsettledUntil.put(place, System.nanoTime() + fault.length() + SETTLED);
                 if (on) {
                     stopped(place);
                     balancer.process().kill();
--- a/rig/src/main/java/frostrelay/rig/fleet/Fleet.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/Fleet.java
@@ -43,6 +43,7 @@
     private final Day day;
     private final NioEventLoopGroup group = new NioEventLoopGroup(LOOPS);
     private final Referee referee;
+    private final LoopMonitor monitor;
     private final ArchiveServer archive;
     private final DiscoveryServer discovery;
     private final List<Cache> caches = new ArrayList<>();
@@ -77,7 +78,7 @@
         this.day = day;
         referee = new Referee(new Referee.Bounds(day.drainGrace() + DRAIN_SLACK, day.cache().warmth().window(),
                 day.cache().warmth(), day.cache().cores()));
-        LoopMonitor monitor = new LoopMonitor(group);
+        monitor = new LoopMonitor(group);
         referee.heldUpWhile(monitor::isBehind);
         archive = new ArchiveServer(day.archive(), group.next(), day.seed());
         discovery = new DiscoveryServer(group.next(), referee, day.lateness());
@@ -166,6 +167,16 @@
         return caches;
     }
 
+    /** For how long, in milliseconds, a loop of the stand-ins stood still at most; 0 for no time that matters. */
+    public long longestStallMs() {
+        return TimeUnit.NANOSECONDS.toMillis(monitor.longest());
+    }
+
+    /** Whether what the stand-ins see now may have come earlier, as their own loops stood still. */
+    public boolean isHeldUp() {
+        return monitor.isBehind(System.nanoTime());
+    }
+
     /** A loop for clients. */
     public EventLoop loop() {
         return group.next();
--- a/rig/src/main/java/frostrelay/rig/fleet/LoopMonitor.java
+++ b/rig/src/main/java/frostrelay/rig/fleet/LoopMonitor.java
@@ -19,6 +19,7 @@
     private static final long AFTERMATH = 500_000_000L;
 
     private final List<AtomicLong> beats = new ArrayList<>();
+    private final AtomicLong longest = new AtomicLong();
     private final AtomicLong stalledAt = new AtomicLong(System.nanoTime() - AFTERMATH);
 
     LoopMonitor(EventLoopGroup group) {
@@ -31,11 +32,18 @@
 
     private void beat(AtomicLong beat) {
         long now = System.nanoTime();
-        if (now - beat.getAndSet(now) > MOST_BEHIND) {
+        long gap = now - beat.getAndSet(now);
+        if (gap > MOST_BEHIND) {
             stalledAt.set(now);
+            longest.accumulateAndGet(gap, Math::max);
         }
     }
 
+    /** The longest stand still so far, in nanoseconds; 0 for none. */
+    long longest() {
+        return longest.get();
+    }
+
     /** Whether some loop stands still now, or did so shortly before. */
     boolean isBehind(long now) {
         return now - stalledAt.get() < AFTERMATH || beats.stream().anyMatch(beat -> now - beat.get() > MOST_BEHIND);
--- a/rig/src/main/java/frostrelay/rig/soak/SoakPlay.java
+++ b/rig/src/main/java/frostrelay/rig/soak/SoakPlay.java
@@ -21,8 +21,8 @@
             "\"event\":\"cannot-start\"", "\"event\":\"stopped-short\"");
     private static final int MOST_LINES_EACH = 5;
 
-    /** What a play came to. {@code findings}: what must never happen and did, in words. */
-    public record Outcome(Day day, Result result, List<String> findings) {
+    /** What a play came to. {@code stallMs}: how long the stand-ins themselves stood still at most; {@code findings}: what must never happen and did, in words. */
+    public record Outcome(Day day, Result result, long stallMs, List<String> findings) {
     }
 
     private SoakPlay() {
@@ -32,9 +32,11 @@
     public static Outcome play(Day day, Path folder, Program program, Consumer<String> lines) throws IOException, InterruptedException {
         List<String> findings = new ArrayList<>();
         Result result;
+        long stallMs;
         try (Fleet fleet = new Fleet(day, folder, program)) {
             fleet.startBalancers();
             result = DayPlay.play(fleet, lines);
+            stallMs = fleet.longestStallMs();
             for (Fleet.Place place : fleet.balancers()) {
                 if (!place.process().isAlive()) {
                     findings.add("CRASH: " + place.name() + " does not run at the end");
@@ -50,7 +52,7 @@
         if (result.tally().wrongAnswers() > 0) {
             findings.add("WRONG: " + result.tally().wrongAnswers() + " answers were not what was asked for");
         }
-        return new Outcome(day, result, findings);
+        return new Outcome(day, result, stallMs, findings);
     }
 
     private static List<String> badLines(Fleet.Place place) throws IOException {
