Take servers' start times onto the monotonic clock, whatever is done to the wall clock

Cause: discovery tells starts in Unix time; the program compared them with a clock that was set by Unix time once. Behind a step of the wall clock by an hour a server that had just started counted as warm, or as cold for an hour, and one that started anew behind a step back was not seen to have.

Change: StartTimes translates a start when it is first told, by the wall clock of that moment, and keeps it. It reads no clock.

--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Stands between the sockets and the decision module: the ledger of open requests and their attempts, and
@@ -216,6 +217,9 @@
     private final Set<String> openIds = new HashSet<>();
     private final Budget budget;
     private final ActionGuard guard;
+    /** Unix time in milliseconds, which may step; for what discovery tells in it alone. */
+    private final LongSupplier wallMs;
+    private final StartTimes startTimes = new StartTimes();
     private final Witness witness;
     private final Queue<ModuleEvent> events = new ArrayDeque<>();
     private Set<Long> held = Set.of();
@@ -232,8 +236,9 @@
     private final Promise<Void> heard;
 
     Balancer(Config config, EventLoop loop, Counters counters, Module module, Backend.Maker backend,
-             Budget budget, ActionGuard guard, SharedFolder.Look shared, Witness witness) {
+             Budget budget, ActionGuard guard, SharedFolder.Look shared, Witness witness, LongSupplier wallMs) {
         this.budget = budget;
+        this.wallMs = wallMs;
         this.guard = guard;
         this.witness = witness;
         this.site = new CurrentSite(config.site());
@@ -334,11 +339,19 @@
     public void onList(Api.ListMode mode, long rev, List<Catalog.Member> members) {
         witness.onList(mode, rev, members);
         pool.update(mode, members);
-        if (mode == Api.ListMode.FULL || mode == Api.ListMode.CACHED) {
+        boolean all = mode == Api.ListMode.FULL || mode == Api.ListMode.CACHED;
+        if (all) {
             listed.clear();
         }
-        members.forEach(member -> listed.put(member.server().id(), member.server()));
-        List<Api.Server> servers = members.stream().map(Catalog.Member::server).map(this::heard).toList();
+        if (mode != Api.ListMode.FAILED) {
+            startTimes.onList(Clock.now(), wallMs.getAsLong() * Clock.MILLISECOND);
+        }
+        List<Api.Server> own = members.stream().map(Catalog.Member::server).map(this::onOwnClock).toList();
+        own.forEach(server -> listed.put(server.id(), server));
+        if (all) {
+            startTimes.keep(listed.keySet());
+        }
+        List<Api.Server> servers = own.stream().map(this::heard).toList();
         post(null, () -> router.onList(Clock.now(), mode, servers));
         if (!site().settings.subscribe()) {
             follow(mode);
@@ -487,6 +500,16 @@
         rule();
     }
 
+    /** An entry of the list with its start on this program's clock. */
+    private Api.Server onOwnClock(Api.Server told) {
+        if (told.state() == Api.State.GONE) {
+            startTimes.forget(told.id());
+            return told;
+        }
+        return new Api.Server(told.id(), told.zone(), told.kind(), told.cell(), told.state(), told.weight(),
+                startTimes.own(told.id(), told.startedAt()));
+    }
+
     /** An entry of the list as others' newer ones have it. */
     private Api.Server heard(Api.Server own) {
         return own.state() != Api.State.READY || !avoided.contains(own.id()) ? own : new Api.Server(own.id(), own.zone(),
--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -134,7 +134,7 @@
         links = Math.max(1, all - reserve() - clients - surplus);
         balancer = new Balancer(config, loop, counters, module,
                 (site, listener) -> new HostPool(site, loop, counters, mostLinks(shared), listener), budget, guard, shared,
-                fleet.witness());
+                fleet.witness(), seams.wall());
         if (options.fleet().stragglers()) {
             balancer.catchUpFirst();
         }
--- a/node/src/test/java/frostrelay/node/OrderTest.java
+++ b/node/src/test/java/frostrelay/node/OrderTest.java
@@ -319,7 +319,7 @@
             Command command = new Command(MetaFrame.of(List.of("ms", "1", "1", "O1", "Pc=copy,t=acme,d=100"), new byte[] {'x'}),
                     config.site());
             loop.submit(() -> new Balancer(config, loop, new Counters(), Router::new, (site, listener) -> new NeverUp(),
-                    new Budget(1_000), new ActionGuard(), new SharedFolder.Look(Set.of(), Set.of(), 0, new Usage(0, 0)), slow)
+                    new Budget(1_000), new ActionGuard(), new SharedFolder.Look(Set.of(), Set.of(), 0, new Usage(0, 0)), slow, System::currentTimeMillis)
                     .take(command, Clock.now(), client)).get();
             assertEquals("refused", answers.poll(Peer.LIMIT_MS, TimeUnit.MILLISECONDS));
             assertNull(answers.poll(100, TimeUnit.MILLISECONDS), "one answer");
--- a/node/src/test/java/frostrelay/node/Rig.java
+++ b/node/src/test/java/frostrelay/node/Rig.java
@@ -58,6 +58,7 @@
     /** Where operators call; nowhere if null. */
     String console;
     Balancer.Module module = Router::new;
+    Seams seams = Seams.NONE;
     /** What is done to the text of the settings. */
     UnaryOperator<String> rewrite = UnaryOperator.identity();
     Node node;
@@ -105,7 +106,7 @@
         temporary = Files.createTempDirectory("rig");
         folder = new SharedFolder(temporary, "rig");
         SharedFolder.Look look = folder.look();
-        node = loop.submit(() -> new Node(config, loop, module, folder, look, Options.STANDARD, Seams.NONE)).get();
+        node = loop.submit(() -> new Node(config, loop, module, folder, look, Options.STANDARD, seams)).get();
         address = (InetSocketAddress) loop.submit(node::start).get().sync().getNow().channel().localAddress();
         return this;
     }
