Part the limit on connections from their reading, and put what explains losses first in the counts

Change: ConnectionLimiter admits connections and decides which quiet one makes room; ClientServer reads and answers. Counts begin with violations, denials, refusals, closes and repeats by reason, and leave out what is 0.

--- a/node/src/main/java/frostrelay/log/Event.java
+++ b/node/src/main/java/frostrelay/log/Event.java
@@ -21,7 +21,7 @@
             + " found by looking at the file instead.", "signal", "look-ms"),
     SETTINGS_TAKEN(Level.INFO, "A replaced configuration holds from now on.", "classes", "attempts"),
     SETTINGS_REFUSED(Level.ERROR, "A replaced configuration cannot be used; the old one stays, whole.", "reason"),
-    COUNTS(Level.INFO, "What has been counted since the start, every ten seconds.", "counts", "gauges"),
+    COUNTS(Level.INFO, "What has been counted since the start, every ten seconds; what is 0 is left out.", "counts", "gauges"),
     DRAIN_BEGINS(Level.INFO, "Operators send the clients away."),
     DRAIN_ENDS(Level.INFO, "Clients are taken again."),
     HOLDS(Level.INFO, "What operators hold out of use has changed.", "caches"),
--- a/node/src/main/java/frostrelay/node/ClientServer.java
+++ b/node/src/main/java/frostrelay/node/ClientServer.java
@@ -24,11 +24,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.util.ArrayDeque;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Queue;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Clients' connections: reads commands and writes their answers in the order of the commands. */
@@ -59,10 +55,6 @@
     private static final long PASS_OVER_MS = 50;
     /** A connection that is read again is given this long before what waits of it is begun. */
     private static final long READ_FIRST_MS = 2;
-    /** No connection that has yet to speak is closed sooner to make room: its command may be on its way. */
-    private static final long YOUNG_NS = 100 * Clock.MILLISECOND;
-    /** So large a part of all connections without a good command is a crowd. */
-    private static final int CROWD_PART = 4;
     /** After a fault a connection is not read for this long, and after so many faults no more at all. */
     private static final long PENALTY_MS = 50;
     private static final int MOST_FAULTS = 8;
@@ -76,19 +68,9 @@
     private final Balancer balancer;
     private final EventLoop loop;
     private final Counters counters;
-    private int mostClients;
-    private final int mostSurplus;
     private final Budget budget;
-    private final Set<Connection> connections = new LinkedHashSet<>();
-    /** Connections with nothing to do, the one that has been so for longest first. */
-    private final Set<Connection> idle = new LinkedHashSet<>();
-    /** Likewise those that never brought a good command, or brought a bad one: the first to make room. */
-    private final Set<Connection> doubtful = new LinkedHashSet<>();
-    /** Those whose output is shut, until their clients have closed as well: there is nothing on them to lose. */
-    private final Set<Connection> farewells = new LinkedHashSet<>();
+    private final ConnectionLimiter<Connection> limiter;
     private final ReadAhead.Total ahead = new ReadAhead.Total();
-    /** Those that came while there was no room, and have not been given any yet. */
-    private final Queue<Connection> waiting = new ArrayDeque<>();
     private Channel server;
     private long unread;
     /** Bytes of long values that are written and not taken yet. */
@@ -103,8 +85,7 @@
         this.budget = budget;
         this.loop = loop;
         this.counters = counters;
-        this.mostClients = mostClients;
-        this.mostSurplus = mostSurplus;
+        this.limiter = new ConnectionLimiter<>(loop, mostClients, mostSurplus);
     }
 
     ChannelFuture listen(InetSocketAddress address) {
@@ -143,11 +124,11 @@
 
     /** From now on so many connections are held at most; idle ones make room as further ones come. */
     void limit(int most) {
-        mostClients = most;
+        limiter.limit(most);
     }
 
     int clients() {
-        return connections.size();
+        return limiter.size();
     }
 
     /**
@@ -156,39 +137,11 @@
      */
     void sweep() {
         long now = Clock.now();
-        for (Connection connection : List.copyOf(connections)) {
+        for (Connection connection : limiter.all()) {
             connection.checkTime(now);
         }
     }
 
-    /**
-     * Finds room for those that came without any. It runs behind the reads of the same turn of the loop: a
-     * connection whose command was waiting to be read is not idle any more, and would be lost by a close.
-     */
-    private void makeRoom() {
-        for (Connection late = waiting.poll(); late != null; late = waiting.poll()) {
-            // In a crowd that says nothing all are young: good idle connections must not make room for it.
-            long least = doubtful.size() > mostClients / CROWD_PART ? 0 : YOUNG_NS;
-            if (connections.contains(late) && connections.size() > mostClients && !evict(farewells, 0)
-                    && !evict(doubtful, least) && !evict(idle, 0)) {
-                late.surplus = true;
-            }
-        }
-    }
-
-    private boolean evict(Set<Connection> from, long leastNs) {
-        Iterator<Connection> longest = from.iterator();
-        if (!longest.hasNext()) {
-            return false;
-        }
-        Connection evicted = longest.next();
-        if (Clock.now() - evicted.since < leastNs) {
-            return false;
-        }
-        evicted.drop();
-        return true;
-    }
-
     /** An accept that fails, for want of descriptors, is tried again soon: it must not reach the loop itself. */
     private final class AcceptFaults extends ChannelInboundHandlerAdapter {
         @Override
@@ -330,7 +283,7 @@
         }
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<MetaFrame> implements ReadAhead.Listener {
+    private final class Connection extends SimpleChannelInboundHandler<MetaFrame> implements ReadAhead.Listener, ConnectionLimiter.Limited {
         private final SocketChannel channel;
         private final MetaDecoder decoder;
         private final ReadAhead readAhead = new ReadAhead(this, ahead, READS_AT_ONCE);
@@ -372,22 +325,30 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            if (connections.size() >= mostClients + mostSurplus && !evict(farewells, 0)) {
+            if (!limiter.admit(this)) {
                 counters.closed(CloseReason.TURNED_AWAY);
                 gone = true;
                 ctx.close();
-                return;
-            }
-            connections.add(this);
-            doubtful.add(this);
-            if (connections.size() > mostClients) {
-                waiting.add(this);
-                if (waiting.size() == 1) {
-                    loop.execute(ClientServer.this::makeRoom);
-                }
             }
         }
 
+        @Override
+        public long since() {
+            return since;
+        }
+
+        @Override
+        public void refuseAll() {
+            surplus = true;
+        }
+
+        /** Counted out now, as the channel reports its end only later: a burst would evict but one. */
+        @Override
+        public void evict() {
+            limiter.remove(this);
+            close(CloseReason.EVICTED);
+        }
+
         /** To be closed as soon as all that was read from it is answered. */
         private boolean isUnwelcome() {
             return surplus || guard.sendsClientsAway();
@@ -400,25 +361,13 @@
 
         private void beIdle() {
             // Asked again while it is idle, it keeps its place in the line.
-            if ((spoke && faults == 0 ? idle : doubtful).add(this) && asked) {
+            ConnectionLimiter.Quiet kind = spoke && faults == 0 ? ConnectionLimiter.Quiet.IDLE : ConnectionLimiter.Quiet.UNPROVEN;
+            if (limiter.becomesQuiet(this, kind) && asked) {
                 asked = false;
                 since = Clock.now();
             }
         }
 
-        private void beBusy() {
-            idle.remove(this);
-            doubtful.remove(this);
-            farewells.remove(this);
-        }
-
-        /** Counted out now, as the channel reports its end only later: a burst would evict but one. */
-        private void drop() {
-            beBusy();
-            connections.remove(this);
-            close(CloseReason.EVICTED);
-        }
-
         private void close(CloseReason reason) {
             closeReason = closeReason == null ? reason : closeReason;
             if (!isDone()) {
@@ -475,7 +424,7 @@
         /** Bytes that wait keep a connection from being evicted: they may be a command. */
         @Override
         public void onBytes() {
-            beBusy();
+            limiter.becomesBusy(this);
         }
 
         @Override
@@ -706,8 +655,8 @@
         private void leave() {
             leaving = true;
             since = Clock.now();
-            beBusy();
-            farewells.add(this);
+            limiter.becomesBusy(this);
+            limiter.becomesQuiet(this, ConnectionLimiter.Quiet.ENDING);
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> channel.shutdownOutput().addListener(ended -> {
                 shut = true;
                 since = Clock.now();
@@ -731,8 +680,7 @@
                 tellClose();
             }
             gone = true;
-            connections.remove(this);
-            beBusy();
+            limiter.remove(this);
             arrived.clear();
             for (Slot slot : slots) {
                 if (slot.value != null) {
--- a/node/src/main/java/frostrelay/node/Counters.java
+++ b/node/src/main/java/frostrelay/node/Counters.java
@@ -117,36 +117,51 @@
         latest = Math.max(latest, late);
     }
 
-    /** Writes what has been counted so far. */
+    /**
+     * Writes what has been counted so far. What explains requests without an answer comes first, and what is 0 is left out: where
+     * logs are shown, long lines are cut.
+     */
     void print(Map<String, Object> gauges) {
         Map<String, Object> counts = new LinkedHashMap<>();
         counts.put("taken", taken);
         counts.put("served", served);
         counts.put("refused", refused());
         counts.put("failed", failed);
-        counts.put("gone", clientsGone);
-        counts.put("departed", departed);
-        counts.put("malformed", malformed);
-        counts.put("cut-short", cutShort);
-        counts.put("last-calls", lastCalls);
-        counts.put("connects", connects);
-        counts.put("no-link-room", noLinkRoom);
-        counts.put("timers", timers);
-        counts.put("timers-late", lateTimers);
-        counts.put("timer-worst-us", latest / MICROSECOND);
+        putUnlessEmpty(counts, "violations", byName(Violation.values(), violations));
+        putUnlessEmpty(counts, "denials", byName(ActionGuard.Verdict.values(), denials));
+        putUnlessEmpty(counts, "refusals", byName(RefusalReason.values(), refusals));
+        putUnlessEmpty(counts, "closes", byName(CloseReason.values(), closes));
+        putUnlessEmpty(counts, "repeats", repeatsByName());
+        putUnlessZero(counts, "gone", clientsGone);
+        putUnlessZero(counts, "departed", departed);
+        putUnlessZero(counts, "malformed", malformed);
+        putUnlessZero(counts, "cut-short", cutShort);
+        putUnlessZero(counts, "last-calls", lastCalls);
+        putUnlessZero(counts, "connects", connects);
+        putUnlessZero(counts, "no-link-room", noLinkRoom);
+        putUnlessZero(counts, "timers", timers);
+        putUnlessZero(counts, "timers-late", lateTimers);
+        putUnlessZero(counts, "timer-worst-us", latest / MICROSECOND);
         counts.putAll(byName(Reason.values(), outcomes));
-        counts.put("refusals", byName(RefusalReason.values(), refusals));
-        counts.put("closes", byName(CloseReason.values(), closes));
-        counts.put("repeats", repeatsByName());
-        counts.put("denials", byName(ActionGuard.Verdict.values(), denials));
-        counts.put("violations", byName(Violation.values(), violations));
-        counts.put("not-logged", Math.max(0, noises - MOST_NOISES));
+        putUnlessZero(counts, "not-logged", Math.max(0, noises - MOST_NOISES));
         noises = 0;
         states = 0;
         latest = 0;
         Log.write(Event.COUNTS, counts, gauges);
     }
 
+    private static void putUnlessZero(Map<String, Object> counts, String name, long value) {
+        if (value != 0) {
+            counts.put(name, value);
+        }
+    }
+
+    private static void putUnlessEmpty(Map<String, Object> counts, String name, Map<String, Object> detail) {
+        if (!detail.isEmpty()) {
+            counts.put(name, detail);
+        }
+    }
+
     /** What a peer can cause as often as it likes: told in part, so that it cannot fill the log. */
     void noise(String what) {
         if (++noises <= MOST_NOISES) {
