Tell servers a little less than clients have left, for a process that is held up before it writes

Cause: swept for the incident's class: the terms let a wait be overstated by 150 ms and a process be held up for 150 ms between its clock and the write, which left nothing for the client's own way (60 ms on slow ones).

Change: ActionGuard.tellableWait takes 60 ms off what the client has left, of short waits an eighth. Attempts that are cut earlier are told that as before.

--- a/node/src/main/java/frostrelay/lifecycle/ActionGuard.java
+++ b/node/src/main/java/frostrelay/lifecycle/ActionGuard.java
@@ -19,6 +19,13 @@
     /** Of the 100 ms within which a client that left must be seen to, the rest is for the way of what is sent. */
     private static final long MOST_UNSEEN = 75_000_000L;
 
+    /**
+     * The terms allow 150 ms by which a wait may be overstated, and as much for which this process may be held up before it writes:
+     * what comes on top, such as the client's own way, is taken off; of short waits only a part.
+     */
+    private static final long MOST_TOLD_LESS = 60_000_000L;
+    private static final long TOLD_LESS_PART = 8;
+
     /** Whether an attempt may be written, or why not. */
     public enum Verdict {
         /** It may. */
@@ -88,6 +95,16 @@
         return schedule == null ? clientUntil : Math.min(clientUntil, schedule.answerUntil());
     }
 
+    /**
+     * How long a server is told that an attempt is waited for, if it is written now: never more than the client has left once this
+     * process has been held up for a moment and the bytes have had their way.
+     */
+    public long tellableWait(long now, long cutAt, long answerBy) {
+        long clientLeft = answerBy - now;
+        long margin = Math.min(MOST_TOLD_LESS, clientLeft / TOLD_LESS_PART);
+        return Math.min(cutAt - now, clientLeft - margin);
+    }
+
     /** Whether an attempt may be written now. */
     public Verdict maySend(long now, Send send) {
         if (send.requestOver) {
--- a/node/src/main/java/frostrelay/node/Backend.java
+++ b/node/src/main/java/frostrelay/node/Backend.java
@@ -14,6 +14,9 @@
         /** Whether an attempt may be written now to a host to which the last send may begin by {@code hostUntil}. */
         ActionGuard.Verdict maySend(Attempt attempt, long hostUntil);
 
+        /** How long the host of an attempt is told that it is waited for, in nanoseconds, if it is written now. */
+        long tellableWait(Attempt attempt);
+
         /** An attempt is written to the host that the listener numbered so. */
         void onWrite(Attempt attempt, int host);
 
--- a/node/src/main/java/frostrelay/node/Balancer.java
+++ b/node/src/main/java/frostrelay/node/Balancer.java
@@ -376,6 +376,11 @@
         return guard.maySend(now, facts(now, attempt, hostUntil));
     }
 
+    @Override
+    public long tellableWait(Attempt attempt) {
+        return guard.tellableWait(Clock.now(), attempt.cutAt, attempt.exchange.answerBy);
+    }
+
     private ActionGuard.Send facts(long now, Attempt attempt, long hostUntil) {
         Exchange exchange = attempt.exchange;
         return new ActionGuard.Send(exchange.over, exchange.client.unseenSince(now), attempt.cutAt, exchange.answerBy, hostUntil, repeatUntil(attempt));
--- a/node/src/main/java/frostrelay/node/HostPool.java
+++ b/node/src/main/java/frostrelay/node/HostPool.java
@@ -332,7 +332,7 @@
 
         private void write() {
             Attempt written = attempt;
-            written.toldMs = Math.max(1, (written.cutAt - Clock.now()) / Clock.MILLISECOND);
+            written.toldMs = Math.max(1, listener.tellableWait(written) / Clock.MILLISECOND);
             ByteBuf bytes = written.exchange.ask.encode(channel.alloc(), written.toldMs);
             listener.onWrite(written, host.number);
             sent = channel.writeAndFlush(bytes);
--- a/node/src/test/java/frostrelay/lifecycle/ActionGuardTest.java
+++ b/node/src/test/java/frostrelay/lifecycle/ActionGuardTest.java
@@ -30,6 +30,13 @@
         assertEquals(Verdict.MAY_HAVE_RUN, guard.maySend(1, send(NEVER, NEVER, NEVER, NEVER, 1)));
     }
 
+    @Test
+    void aServerIsToldLessThanTheClientHasLeft() {
+        assertEquals(1_940 * MS, guard.tellableWait(1_000 * MS, 3_000 * MS, 3_000 * MS));
+        assertEquals(140 * MS, guard.tellableWait(0, 160 * MS, 160 * MS), "of a short wait an eighth is taken off");
+        assertEquals(500 * MS, guard.tellableWait(0, 500 * MS, 3_000 * MS), "an attempt that is cut earlier is waited for until then");
+    }
+
     @Test
     void aShutdownCutsWhatIsPromisedAndNothingEndsIt() {
         assertEquals(9_000 * MS, guard.answerBy(0, 9_000 * MS));
--- a/node/src/test/java/frostrelay/node/LateWorkTest.java
+++ b/node/src/test/java/frostrelay/node/LateWorkTest.java
@@ -144,6 +144,16 @@
         }
     }
 
+    /** Held up for as long as it may be between its clock and the write, it has still told no more than the terms allow. */
+    @Test
+    void aServerIsToldLessThanItsClientWaits() throws Exception {
+        try (Rig rig = new Rig(FakeHost.serving()).start(); Peer client = rig.client()) {
+            assertEquals("HD Oa c77", client.ask(copy("a", 4_000).stripTrailing()));
+            int told = Integer.parseInt(rig.hosts.get(0).command().replaceAll(".*d=(\\d+).*", "$1"));
+            assertTrue(told <= 3_940 && told > 3_000, "told " + told);
+        }
+    }
+
     private static String reads(int count) {
         StringBuilder commands = new StringBuilder();
         for (int i = 0; i < count; i++) {
