--- a/cli/src/main/java/frostrelay/cli/SoakCommand.java
+++ b/cli/src/main/java/frostrelay/cli/SoakCommand.java
@@ -5,6 +5,7 @@
 import frostrelay.rig.fleet.Result;
 import frostrelay.rig.soak.SoakPlan;
 import frostrelay.rig.soak.SoakPlay;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -46,7 +47,7 @@
             description = "Processes of each day, 1 to 40; drawn from 10 to 40 if not given.")
     private int balancers;
 
-    @Option(names = "--keep", paramLabel = "FOLDER", description = "Keep the balancers' configurations and logs here, a folder a seed.")
+    @Option(names = "--keep", paramLabel = "FOLDER", description = "Keep the balancers' configurations and logs here, a folder a play.")
     private Path keep;
 
     @Option(names = "--verbose", description = "Tell what happens in each second.")
@@ -92,7 +93,7 @@
 
     private SoakPlay.Outcome play(long seed) throws Exception {
         Day day = SoakPlan.draw(seed, balancers);
-        Path folder = keep == null ? Checkout.folder() : Files.createDirectories(keep.resolve("seed-" + seed));
+        Path folder = keep == null ? Checkout.folder() : freshFolder(seed);
         try {
             return SoakPlay.play(day, folder, Checkout.balancer(), text -> {
                 if (verbose) {
@@ -106,6 +107,15 @@
         }
     }
 
+    /** A folder of its own for each play: logs go behind what is there, and an earlier play's lines are none of this one's. */
+    private Path freshFolder(long seed) throws IOException {
+        int number = 1;
+        while (Files.exists(keep.resolve("seed-" + seed + "-play-" + number))) {
+            number++;
+        }
+        return Files.createDirectories(keep.resolve("seed-" + seed + "-play-" + number));
+    }
+
     private static String line(long seed, SoakPlay.Outcome outcome) {
         Result result = outcome.result();
         return String.format(Locale.ROOT, "seed %d: %d balancers, %d caches, %d faults; %,d requests, %.1f%% in time, %d excused, "
