--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,7 @@
 
 CACHES = 12
 REPLACED = 7
-ROUNDS = 2
+ROUNDS = 3
 REQUESTS_PER_SECOND = 76
 # A spell of heavy requests, of the lengths and sizes that the brief names.
 SPELL_S = 27.0
