--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,6 +21,7 @@
 
 
 async def answer(cache, connection, command, writer):
+    cache.record.write("%s: %s begun" % (cache.name, command.id))
     await asyncio.sleep(0.08)
     writer.write(b"VA 64 O%s h1\r\n%s\r\n" % (command.id.encode(), b"x" * 64))
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -87,8 +87,10 @@
         if self.fallen:
             writer.close()
         elif len(self.jobs) >= PLACES:
+            self.record.write("%s: %s turned away" % (self.uid, command.id))
             writer.write(b"SERVER_ERROR busy\r\n")
         else:
+            self.record.write("%s: %s begun" % (self.uid, command.id))
             job = [self.world.work[command.id], asyncio.get_running_loop().create_future(), writer]
             self.jobs.append(job)
             await job[1]
@@ -214,6 +216,7 @@
         else:
             data = rig.write_command(name, key, rid, wait_ms, b"uso", extra + ",k=" + key)
         client = self.idle.pop() if self.idle else None
+        self.record.write("client sends %s %s, work %.2f s" % (name, rid, work))
         try:
             if client is None:
                 client = rig.Client(self.balancer.port)
@@ -223,9 +226,11 @@
             if line.startswith("VA "):
                 await client.read_exactly(int(line.split(" ")[1]) + 2)
             self.idle.append(client)
+            self.record.write("client got %r for %s" % (line, rid))
             return "served" if line[:2] in ("VA", "HD") else " ".join(line.split(" ")[:2])
         except (OSError, asyncio.TimeoutError):
             client.close()
+            self.record.write("client got no answer for %s" % rid)
             return "no answer"
 
 
