--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -18,7 +18,7 @@
 import frostrelay.node.log.Event;
 import frostrelay.node.log.Log;
 import frostrelay.node.metrics.Counters;
-import frostrelay.node.net.MemoryLimiter;
+import frostrelay.node.net.TrafficMemory;
 import frostrelay.node.proxy.RequestDispatcher;
 import frostrelay.node.time.Clock;
 import frostrelay.node.upstream.UpstreamConnectionPool;
@@ -45,13 +45,10 @@
     /** An administrator's call must be received completely within this time. */
     private static final long ADMIN_CALL_TIMEOUT_MILLIS = 2_000;
 
-    /** Limit on the bytes of values in memory; the heap can hold several times that. */
-    private static final long MAX_VALUE_BYTES = 8L * 1024 * 1024;
-
     private Config config;
     private final EventLoop loop;
     private final Counters counters = new Counters();
-    private final MemoryLimiter memoryLimiter = new MemoryLimiter(MAX_VALUE_BYTES);
+    private final TrafficMemory memory = new TrafficMemory();
     private final ActionGuard actionGuard = new ActionGuard();
     private final ServingState servingState = new ServingState(actionGuard);
     private final DescriptorLimits descriptorLimits;
@@ -102,7 +99,7 @@
                         dispatcher,
                         loop,
                         counters,
-                        memoryLimiter,
+                        memory,
                         actionGuard,
                         descriptorLimits.maxClients(sharedState),
                         descriptorLimits.maxSurplusClients());
@@ -114,6 +111,7 @@
                         descriptorLimits,
                         dispatcher,
                         clientListener,
+                        memory,
                         membership);
     }
 
@@ -132,8 +130,9 @@
                                 loop,
                                 counters,
                                 descriptorLimits.maxUpstreamConnections(sharedState),
+                                memory,
                                 listener),
-                memoryLimiter,
+                memory.requests(),
                 actionGuard,
                 sharedState,
                 membership.observer(),
@@ -230,6 +229,7 @@
         dispatcher.sweep();
         membership.tick();
         clientListener.closeTimedOut();
+        memory.check(counters, clientListener.connectionCount() + dispatcher.connectionCount());
         if (++sweepCount % sweepsPerReport == 0) {
             logCounters();
         }
@@ -242,7 +242,7 @@
     Map<String, Object> gauges() {
         Map<String, Object> gauges = new LinkedHashMap<>();
         gauges.put("clients", clientListener.connectionCount());
-        gauges.put("held", memoryLimiter.reservedBytes());
+        memory.collectGauges(gauges);
         dispatcher.collectGauges(gauges);
         return gauges;
     }
--- a/node/src/main/java/frostrelay/node/SharedStateSync.java
+++ b/node/src/main/java/frostrelay/node/SharedStateSync.java
@@ -8,6 +8,7 @@
 import frostrelay.node.lifecycle.SharedDirectory.ChangeResult;
 import frostrelay.node.log.Event;
 import frostrelay.node.log.Log;
+import frostrelay.node.net.TrafficMemory;
 import frostrelay.node.proxy.RequestDispatcher;
 
 import io.netty.channel.EventLoop;
@@ -28,6 +29,7 @@
     private final DescriptorLimits descriptorLimits;
     private final RequestDispatcher dispatcher;
     private final ClientListener clientListener;
+    private final TrafficMemory memory;
     private final ClusterMembership membership;
 
     /** Ids of the servers that administrators drained. */
@@ -48,16 +50,19 @@
             DescriptorLimits descriptorLimits,
             RequestDispatcher dispatcher,
             ClientListener clientListener,
+            TrafficMemory memory,
             ClusterMembership membership) {
         this.loop = loop;
         this.sharedDirectory = sharedDirectory;
         this.descriptorLimits = descriptorLimits;
         this.dispatcher = dispatcher;
         this.clientListener = clientListener;
+        this.memory = memory;
         this.membership = membership;
         adminDrains = initialState.adminDrains();
         overrides = initialState.overrides();
         peerProcessCount = initialState.peerProcessCount();
+        memory.setPeerProcessCount(peerProcessCount);
     }
 
     /** Registers this process as serving and starts to poll the shared state. */
@@ -102,6 +107,7 @@
         // During an upgrade the new process gossips for both, as it outlives the old process.
         membership.setGossipActive(!isPeerNew);
         peerProcessCount = count;
+        memory.setPeerProcessCount(count);
         dispatcher.onSiblingProcesses(count);
     }
 
--- a/node/src/main/java/frostrelay/node/client/ClientConnection.java
+++ b/node/src/main/java/frostrelay/node/client/ClientConnection.java
@@ -5,17 +5,16 @@
 import frostrelay.node.memcache.MetaFrame;
 import frostrelay.node.metrics.CloseReason;
 import frostrelay.node.metrics.Counters;
+import frostrelay.node.net.MemoryAccount;
+import frostrelay.node.net.TrafficMemory;
 import frostrelay.node.proxy.RequestDispatcher;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Queue;
 
 /**
  * A connection of a client. Starts the client's commands, writes their responses in order, and
@@ -30,24 +29,25 @@
      */
     private static final long DISCARD_PAUSE_MILLIS = 50;
 
+    /** Commands started in a row, so that many pipelined commands do not delay other clients. */
+    private static final int MAX_COMMANDS_PER_DISPATCH = 8;
+
     private final SocketChannel channel;
     private final EventLoop loop;
     private final RequestDispatcher dispatcher;
     private final Counters counters;
     private final ActionGuard guard;
     private final ConnectionLimiter<ClientConnection> limiter;
-    private final ResponseMemory responseMemory;
-    private final MetaDecoder decoder;
+    private final MemoryAccount responseAccount;
+    private final OutputQueue output;
     private final ReadAhead readAhead;
+    private final CommandQueue commands;
     private final ReadPauses readPauses;
     private final CommandExecutor executor;
     private final ConnectionLifecycle lifecycle;
     private final PendingResponses pendingResponses;
     private final ConnectionTimeouts timeouts = new ConnectionTimeouts();
 
-    /** Commands that have been decoded but not started. */
-    private final Queue<ReceivedCommand> receivedCommands = new ArrayDeque<>();
-
     /** Whether a command has been started since the connection was last idle. */
     private boolean usedSinceIdle;
 
@@ -67,21 +67,28 @@
             SocketChannel channel,
             MetaDecoder decoder,
             ClientListener listener,
-            ReadAhead.BufferedTotal readAheadTotal,
+            TrafficMemory memory,
             int maxReadsPerIteration) {
         this.channel = channel;
-        this.decoder = decoder;
         this.loop = listener.loop();
         this.dispatcher = listener.dispatcher();
         this.counters = listener.counters();
         this.guard = listener.guard();
         this.limiter = listener.limiter();
-        this.responseMemory = listener.responseMemory();
-        this.readAhead = new ReadAhead(this, readAheadTotal, maxReadsPerIteration);
+        this.responseAccount = new MemoryAccount(memory.responses());
+        this.output =
+                new OutputQueue(
+                        channel,
+                        responseAccount,
+                        new MemoryAccount(memory.outputBuffers()),
+                        this::onOutputProgress);
+        this.readAhead =
+                new ReadAhead(this, new MemoryAccount(memory.clientInput()), maxReadsPerIteration);
+        this.commands = new CommandQueue(readAhead, decoder);
         this.readPauses = new ReadPauses(channel, readAhead, loop, this::updateState);
         this.executor = new CommandExecutor(this, readPauses, dispatcher, counters, guard);
         this.lifecycle = new ConnectionLifecycle(counters, guard);
-        this.pendingResponses = new PendingResponses(channel, responseMemory);
+        this.pendingResponses = new PendingResponses(output);
     }
 
     SocketChannel channel() {
@@ -134,7 +141,7 @@
 
     /** Returns whether no received bytes or commands are waiting and no response is pending. */
     private boolean isIdle() {
-        return pendingResponses.isEmpty() && receivedCommands.isEmpty() && readAhead.isEmpty();
+        return pendingResponses.isEmpty() && commands.isEmpty();
     }
 
     private void markIdle() {
@@ -154,6 +161,8 @@
         if (pendingResponses.isStalled(now)) {
             counters.truncatedValues++;
             close(CloseReason.VALUE_STALLED);
+        } else if (output.mustYield(now)) {
+            close(CloseReason.RESPONSES_UNREAD);
         } else if (lifecycle.state().isOutputClosing()) {
             if (timeouts.isCloseOverdue(now, lifecycle.state())) {
                 channel.close();
@@ -184,6 +193,9 @@
     @Override
     public void onBytesBuffered() {
         limiter.markBusy(this);
+        if (!readAhead.hasCapacity()) {
+            readPauses.update();
+        }
     }
 
     @Override
@@ -197,7 +209,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, MetaFrame frame) {
-        receivedCommands.add(new ReceivedCommand(frame, readAhead.arrivedAtNanos()));
+        commands.addDecoded(frame);
     }
 
     private void scheduleDispatch() {
@@ -211,7 +223,7 @@
         return !lifecycle.state().isClosing()
                 && !readAhead.mayHaveUnreadBytes()
                 && !pendingResponses.isFull()
-                && channel.isWritable()
+                && output.hasCapacity()
                 && readPauses.allowsDispatch();
     }
 
@@ -232,20 +244,21 @@
             return;
         }
         dispatching = true;
-        while (canDispatch() && (!receivedCommands.isEmpty() || readAhead.feedDecoder())) {
-            ReceivedCommand next = receivedCommands.poll();
-            if (next != null) {
-                dispatch(next);
+        for (int i = 0; i < MAX_COMMANDS_PER_DISPATCH && canDispatch(); i++) {
+            ReceivedCommand next = commands.poll();
+            if (next == null) {
+                break;
             }
+            dispatch(next);
         }
-        timeouts.setPartialCommand(isIdle() && !decoder.isAtFrameBoundary());
+        timeouts.setPartialCommand(pendingResponses.isEmpty() && commands.endsInPartialCommand());
         dispatching = false;
         flushCompletedResponses();
     }
 
     private void dispatch(ReceivedCommand next) {
         usedSinceIdle = true;
-        PendingResponse pendingResponse = new PendingResponse(this, responseMemory);
+        PendingResponse pendingResponse = new PendingResponse(this, output, responseAccount);
         pendingResponses.add(pendingResponse);
         executor.execute(pendingResponse, next);
     }
@@ -256,7 +269,7 @@
             return;
         }
         if (pendingResponses.writeCompleted()) {
-            channel.flush();
+            output.flush();
             closeIfRequired();
         }
         updateState();
@@ -265,7 +278,7 @@
     /** Called when the long value of the first response has been written completely. */
     void onValueStreamed(PendingResponse pendingResponse) {
         pendingResponses.remove(pendingResponse);
-        channel.flush();
+        output.flush();
         closeIfRequired();
         if (!dispatching) {
             flushCompletedResponses();
@@ -276,11 +289,11 @@
     void onValueTruncated() {
         counters.truncatedValues++;
         lifecycle.onValueTruncated();
+        output.whenEmpty(channel::close);
     }
 
-    @Override
-    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        pendingResponses.onWritabilityChanged();
+    private void onOutputProgress() {
+        pendingResponses.onOutputProgress();
         updateState();
     }
 
@@ -308,15 +321,11 @@
     private void close(CloseReason reason) {
         lifecycle.setCloseReason(reason);
         if (!isIdle()) {
-            recordUnanswered(reason);
+            lifecycle.recordUnanswered(reason, pendingResponses, commands);
         }
         channel.close();
     }
 
-    private void recordUnanswered(CloseReason reason) {
-        lifecycle.recordUnanswered(reason, pendingResponses.size(), receivedCommands.size());
-    }
-
     /**
      * Starts waiting commands, resumes or pauses reading, or closes the connection, depending on
      * the open requests and on how fast the client reads its responses.
@@ -330,45 +339,36 @@
         }
         if (lifecycle.state() == ConnectionState.CLOSING && pendingResponses.isEmpty()) {
             shutdownOutput();
-        } else if (responseMemory.isUnreadLimitExceeded() && !channel.isWritable()) {
-            // A client that does not read its responses must not exhaust the memory.
-            close(CloseReason.RESPONSES_UNREAD);
-            return;
         }
         readPauses.update();
         if (isIdle() && !lifecycle.state().isOutputClosing()) {
             markIdle();
-        } else if ((!receivedCommands.isEmpty() || !readAhead.isEmpty()) && canDispatch()) {
+        } else if (!commands.isEmpty() && canDispatch()) {
             scheduleDispatch();
         }
     }
 
     private void discardCommands() {
-        if (!receivedCommands.isEmpty() || !readAhead.isEmpty()) {
-            recordUnanswered(lifecycle.closeReason());
+        if (!commands.isEmpty()) {
+            lifecycle.recordUnanswered(lifecycle.closeReason(), pendingResponses, commands);
         }
-        receivedCommands.clear();
-        readAhead.discard();
+        commands.discard();
     }
 
     /**
      * Shuts the output down after the pending writes, and keeps reading until the client has closed
-     * its side, for a limited time. Closing a connection with unread bytes would reset it, and the
-     * client could lose the last response. Input that is read from now on is discarded; the client
-     * must resend it on another connection.
+     * its side, for a limited time: closing a connection with unread bytes would reset it, and the
+     * client could lose the last response. Input that is read from now on is discarded.
      */
     private void shutdownOutput() {
         lifecycle.onOutputClosing();
         timeouts.restart();
         limiter.markBusy(this);
         limiter.markIdle(this, ConnectionLimiter.IdleState.CLOSING);
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                .addListener(
-                        flushed ->
-                                channel.shutdownOutput()
-                                        .addListener(
-                                                shutdown ->
-                                                        onOutputShutdown(shutdown.isSuccess())));
+        output.whenEmpty(
+                () ->
+                        channel.shutdownOutput()
+                                .addListener(shutdown -> onOutputShutdown(shutdown.isSuccess())));
     }
 
     private void onOutputShutdown(boolean succeeded) {
@@ -383,8 +383,9 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         lifecycle.onDisconnect(channel, pendingResponses.size());
         limiter.remove(this);
-        receivedCommands.clear();
+        commands.discard();
         pendingResponses.onDisconnect(dispatcher);
+        output.discard();
     }
 
     @Override
--- a/node/src/main/java/frostrelay/node/client/ClientListener.java
+++ b/node/src/main/java/frostrelay/node/client/ClientListener.java
@@ -3,12 +3,13 @@
 import frostrelay.node.lifecycle.ActionGuard;
 import frostrelay.node.memcache.MetaDecoder;
 import frostrelay.node.metrics.Counters;
-import frostrelay.node.net.MemoryLimiter;
+import frostrelay.node.net.MemoryAccount;
+import frostrelay.node.net.ReadSizeLimit;
+import frostrelay.node.net.TrafficMemory;
 import frostrelay.node.proxy.RequestDispatcher;
 import frostrelay.node.time.Clock;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,7 +18,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -48,20 +48,12 @@
      */
     private static final int MAX_READS_PER_ITERATION = 4;
 
-    private static final int MIN_READ_BYTES = 512;
-    private static final int INITIAL_READ_BYTES = 2048;
-    private static final int MAX_READ_BYTES = 16 * 1024;
-    private static final WriteBufferWaterMark WATER_MARKS =
-            new WriteBufferWaterMark(16 * 1024, 64 * 1024);
-
     private final RequestDispatcher dispatcher;
     private final EventLoop loop;
     private final Counters counters;
-    private final MemoryLimiter memoryLimiter;
+    private final TrafficMemory memory;
     private final ActionGuard guard;
     private final ConnectionLimiter<ClientConnection> limiter;
-    private final ResponseMemory responseMemory = new ResponseMemory();
-    private final ReadAhead.BufferedTotal readAheadTotal = new ReadAhead.BufferedTotal();
     private Channel listeningChannel;
 
     /**
@@ -75,13 +67,13 @@
             RequestDispatcher dispatcher,
             EventLoop loop,
             Counters counters,
-            MemoryLimiter memoryLimiter,
+            TrafficMemory memory,
             ActionGuard guard,
             int maxConnections,
             int maxOverflow) {
         this.dispatcher = dispatcher;
         this.guard = guard;
-        this.memoryLimiter = memoryLimiter;
+        this.memory = memory;
         this.loop = loop;
         this.counters = counters;
         this.limiter = new ConnectionLimiter<>(loop, maxConnections, maxOverflow);
@@ -110,14 +102,6 @@
     private ServerBootstrap configureConnections(ServerBootstrap bootstrap) {
         return bootstrap
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(
-                        ChannelOption.RCVBUF_ALLOCATOR,
-                        // Reads again after a short read, in order to detect a disconnect.
-                        new AdaptiveRecvByteBufAllocator(
-                                        MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
-                                .respectMaybeMoreData(false)
-                                .maxMessagesPerRead(MAX_READS_PER_ITERATION))
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARKS)
                 .childHandler(
                         new ChannelInitializer<>() {
                             @Override
@@ -128,10 +112,13 @@
     }
 
     private void initConnection(SocketChannel channel) {
-        MetaDecoder decoder = MetaDecoder.forCommands(memoryLimiter);
+        MetaDecoder decoder = MetaDecoder.forCommands(new MemoryAccount(memory.requests()));
         ClientConnection connection =
-                new ClientConnection(
-                        channel, decoder, this, readAheadTotal, MAX_READS_PER_ITERATION);
+                new ClientConnection(channel, decoder, this, memory, MAX_READS_PER_ITERATION);
+        channel.config()
+                .setRecvByteBufAllocator(
+                        new ReadSizeLimit(
+                                MAX_READS_PER_ITERATION, true, connection.readAhead()::roomBytes));
         channel.pipeline().addLast(connection.readAhead(), decoder, connection);
     }
 
@@ -186,10 +173,6 @@
         return limiter;
     }
 
-    ResponseMemory responseMemory() {
-        return responseMemory;
-    }
-
     /**
      * A handler that pauses accepting after a failure, for example for lack of descriptors. An
      * immediate retry would keep the event loop busy.
--- a/node/src/main/java/frostrelay/node/client/ConnectionLifecycle.java
+++ b/node/src/main/java/frostrelay/node/client/ConnectionLifecycle.java
@@ -98,15 +98,16 @@
      * Records a violation if a close initiated by this process drops received commands. Commands
      * may be dropped only if the client violated the protocol or disconnected.
      */
-    void recordUnanswered(CloseReason reason, int pendingResponseCount, int receivedCommandCount) {
+    void recordUnanswered(
+            CloseReason reason, PendingResponses pendingResponses, CommandQueue commands) {
         if (reason.isInitiatedLocally()) {
             counters.recordViolation(
                     InvariantViolation.CLOSED_UNANSWERED,
                     reason
                             + ": "
-                            + pendingResponseCount
+                            + pendingResponses.size()
                             + " pending responses and "
-                            + receivedCommandCount
+                            + commands.decodedCount()
                             + " unstarted commands dropped");
         }
     }
--- a/node/src/main/java/frostrelay/node/client/PendingResponse.java
+++ b/node/src/main/java/frostrelay/node/client/PendingResponse.java
@@ -1,6 +1,9 @@
 package frostrelay.node.client;
 
 import frostrelay.node.memcache.MetaCommand;
+import frostrelay.node.net.MemoryAccount;
+import frostrelay.node.net.MemoryPool;
+import frostrelay.node.net.ReadSizeLimit;
 import frostrelay.node.proxy.ActiveRequest;
 import frostrelay.node.proxy.RequestDispatcher;
 import frostrelay.node.proxy.UpstreamResponse;
@@ -8,13 +11,10 @@
 import frostrelay.node.time.Clock;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.socket.SocketChannel;
 
 /**
- * The response to one command of a connection. It is encoded when it becomes available and written
- * after all earlier responses. A long value follows the response line in chunks.
+ * The response to one command of a connection. It is sent after all earlier responses; until then
+ * it is counted in the connection's account. A long value follows the response line in chunks.
  */
 final class PendingResponse implements ActiveRequest.ResponseListener, ValueStream.Sink {
     /**
@@ -22,17 +22,18 @@
      */
     private static final long VALUE_STALL_TIMEOUT_NANOS = 10 * Clock.NANOS_PER_SECOND;
 
-    private static final byte[] CRLF = {'\r', '\n'};
+    /** The memory of a response besides its text and data. */
+    private static final int OVERHEAD_BYTES = 128;
 
     private final ClientConnection connection;
-    private final SocketChannel channel;
-    private final ResponseMemory responseMemory;
+    private final OutputQueue output;
+    private final MemoryAccount account;
 
-    /**
-     * The encoded response, or only its line if a long value follows; null until the response is
-     * available.
-     */
-    private ByteBuf response;
+    /** The line of the response, with its CRLF; null until the response is available. */
+    private String line;
+
+    /** The data block that follows the line; null if there is none or if it is streamed. */
+    private byte[] data;
 
     /** The command if it is a request; otherwise null. */
     private MetaCommand command;
@@ -49,18 +50,13 @@
     /** Whether the line has been written and the value follows. */
     private boolean streaming;
 
-    /** Bytes of chunks that have not been written to the socket yet. */
-    private int unsentBytes;
+    /** The time at which streaming started or the last chunk was received. */
+    private long lastChunkNanos;
 
-    /**
-     * The time at which the last chunk was written to the socket, or at which streaming started.
-     */
-    private long lastProgressNanos;
-
-    PendingResponse(ClientConnection connection, ResponseMemory responseMemory) {
+    PendingResponse(ClientConnection connection, OutputQueue output, MemoryAccount account) {
         this.connection = connection;
-        this.channel = connection.channel();
-        this.responseMemory = responseMemory;
+        this.output = output;
+        this.account = account;
     }
 
     /**
@@ -74,12 +70,8 @@
         activeRequest = acceptedRequest;
     }
 
-    ByteBuf response() {
-        return response;
-    }
-
     boolean isReadyToWrite() {
-        return response != null && !streaming;
+        return line != null && !streaming;
     }
 
     boolean hasValueStream() {
@@ -88,14 +80,14 @@
 
     @Override
     public void onServed(UpstreamResponse upstreamResponse, ValueStream incomingValue) {
-        String line =
+        String responseLine =
                 command.isWrite()
                         ? "HD O" + command.id() + " c" + upstreamResponse.receipt() + "\r\n"
                         : "VA " + upstreamResponse.valueBytes() + " O" + command.id() + "\r\n";
         if (incomingValue == null) {
-            respond(line, upstreamResponse.data());
+            respond(responseLine, upstreamResponse.data());
         } else {
-            streamValue(line, incomingValue);
+            streamValue(responseLine, incomingValue);
         }
     }
 
@@ -118,66 +110,74 @@
         return connection.disconnectUndetectableSince(now);
     }
 
-    /** Sets the response, which is written after all earlier responses. */
-    void respond(String line, byte[] data) {
+    @Override
+    public MemoryPool responseMemory() {
+        return account;
+    }
+
+    /** Sets the response, which is sent after all earlier responses. */
+    void respond(String responseLine, byte[] responseData) {
         if (!connection.isDisconnected()) {
-            response = MetaCommand.encodeLine(channel.alloc(), line, data);
-            responseMemory.addUnread(response.readableBytes());
+            line = responseLine;
+            data = responseData;
+            account.reserve(heldBytes());
             connection.flushCompletedResponses();
         }
     }
 
-    private void streamValue(String line, ValueStream incomingValue) {
+    private int heldBytes() {
+        return OVERHEAD_BYTES + line.length() + (data == null ? 0 : data.length);
+    }
+
+    /** Passes the response, without a streamed value, to the output. */
+    void addTo(OutputQueue outputQueue) {
+        account.release(heldBytes());
+        outputQueue.add(line, data);
+        data = null;
+    }
+
+    private void streamValue(String responseLine, ValueStream incomingValue) {
         if (connection.isDisconnected()) {
             incomingValue.cancel();
             return;
         }
         valueStream = incomingValue;
-        respond(line, null);
+        respond(responseLine, null);
     }
 
     /** Starts to write the value after its line has been written. */
     void startStreaming() {
         streaming = true;
-        lastProgressNanos = Clock.now();
+        lastChunkNanos = Clock.now();
         valueStream.attach(this);
         adjustDemand();
     }
 
     /**
-     * Continues to read from the server while the client accepts chunks and the memory limit over
-     * all connections allows it; otherwise pauses reading.
+     * Continues to read from the server while the client accepts chunks and there is memory, or if
+     * no byte waits for the client; otherwise pauses reading.
      */
     void adjustDemand() {
         if (streaming && valueStream != null) {
             valueStream.setDemand(
-                    channel.isWritable()
-                            && (unsentBytes == 0 || responseMemory.hasStreamingCapacity()));
+                    output.isEmpty()
+                            || output.hasCapacity()
+                                    && account.roomBytes() >= ReadSizeLimit.MAX_READ_BYTES);
         }
     }
 
     @Override
     public void onChunk(ByteBuf chunk) {
-        int chunkBytes = chunk.readableBytes();
-        unsentBytes += chunkBytes;
-        responseMemory.addStreamed(chunkBytes);
-        channel.writeAndFlush(chunk).addListener(done -> onChunkWritten(chunkBytes));
-        adjustDemand();
-    }
-
-    private void onChunkWritten(int chunkBytes) {
-        unsentBytes -= chunkBytes;
-        responseMemory.removeStreamed(chunkBytes);
-        lastProgressNanos = Clock.now();
+        lastChunkNanos = Clock.now();
+        output.add(chunk);
+        output.flush();
         adjustDemand();
     }
 
     @Override
     public void onStreamComplete() {
         valueStream = null;
-        responseMemory.addUnread(CRLF.length);
-        channel.write(Unpooled.wrappedBuffer(CRLF))
-                .addListener(responseMemory.removeWhenWritten(CRLF.length));
+        output.addDataEnd();
         connection.onValueStreamed(this);
     }
 
@@ -187,14 +187,14 @@
         // announced length.
         valueStream = null;
         connection.onValueTruncated();
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
 
-    /** Returns whether no chunk of the value has been written for longer than the timeout. */
+    /** Returns whether the value has made no progress at either end for the timeout. */
     boolean isStalled(long now) {
         return streaming
                 && valueStream != null
-                && now - lastProgressNanos > VALUE_STALL_TIMEOUT_NANOS;
+                && now - Math.max(lastChunkNanos, output.lastProgressNanos())
+                        > VALUE_STALL_TIMEOUT_NANOS;
     }
 
     /** Releases the data that will not be written, and ends the request if it is still open. */
@@ -205,9 +205,8 @@
         if (streaming) {
             return;
         }
-        if (response != null) {
-            responseMemory.removeUnread(response.readableBytes());
-            response.release();
+        if (line != null) {
+            account.release(heldBytes());
         } else if (activeRequest != null) {
             dispatcher.onClientDisconnect(activeRequest);
         }
--- a/node/src/main/java/frostrelay/node/client/PendingResponses.java
+++ b/node/src/main/java/frostrelay/node/client/PendingResponses.java
@@ -2,8 +2,6 @@
 
 import frostrelay.node.proxy.RequestDispatcher;
 
-import io.netty.channel.socket.SocketChannel;
-
 import java.util.ArrayDeque;
 import java.util.Queue;
 
@@ -13,12 +11,10 @@
     private static final int MAX_PIPELINED = 64;
 
     private final Queue<PendingResponse> queue = new ArrayDeque<>();
-    private final SocketChannel channel;
-    private final ResponseMemory responseMemory;
+    private final OutputQueue output;
 
-    PendingResponses(SocketChannel channel, ResponseMemory responseMemory) {
-        this.channel = channel;
-        this.responseMemory = responseMemory;
+    PendingResponses(OutputQueue output) {
+        this.output = output;
     }
 
     void add(PendingResponse pendingResponse) {
@@ -47,15 +43,16 @@
         return !queue.isEmpty() && queue.peek().isStalled(now);
     }
 
-    void onWritabilityChanged() {
+    /** Continues with the value that is being written after the client has accepted data. */
+    void onOutputProgress() {
         if (!queue.isEmpty()) {
             queue.peek().adjustDemand();
         }
     }
 
     /**
-     * Writes the completed responses up to the first one that is still pending, without a flush,
-     * and starts to stream a long value after its line. Returns whether any response was written.
+     * Adds the completed responses up to the first one that is still pending to the output, without
+     * a flush, and starts to stream a long value after its line. Returns whether any was added.
      */
     boolean writeCompleted() {
         boolean hasWritten = false;
@@ -64,22 +61,16 @@
                 first = queue.peek()) {
             hasWritten = true;
             if (first.hasValueStream()) {
-                write(first);
+                first.addTo(output);
                 first.startStreaming();
             } else {
                 queue.poll();
-                write(first);
+                first.addTo(output);
             }
         }
         return hasWritten;
     }
 
-    private void write(PendingResponse pendingResponse) {
-        int responseBytes = pendingResponse.response().readableBytes();
-        channel.write(pendingResponse.response())
-                .addListener(responseMemory.removeWhenWritten(responseBytes));
-    }
-
     /** Releases the data that will not be written, and ends the requests that are still open. */
     void onDisconnect(RequestDispatcher dispatcher) {
         for (PendingResponse pendingResponse : queue) {
--- a/node/src/main/java/frostrelay/node/client/ReadAhead.java
+++ b/node/src/main/java/frostrelay/node/client/ReadAhead.java
@@ -1,13 +1,14 @@
 package frostrelay.node.client;
 
 import frostrelay.node.lifecycle.ActionGuard;
+import frostrelay.node.net.MemoryAccount;
+import frostrelay.node.net.ReadSizeLimit;
 import frostrelay.node.time.Clock;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.ByteToMessageDecoder;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -16,7 +17,8 @@
 /**
  * A bounded buffer that reads a client's connection ahead of the commands being served. A
  * disconnect can be read only after all bytes sent before it, and must be detected while earlier
- * commands are in flight. Runs on the event loop.
+ * commands are in flight. The bytes are kept on the heap and counted at the size of their buffer;
+ * read buffers are released at once. Runs on the event loop.
  */
 final class ReadAhead extends ChannelInboundHandlerAdapter {
     /**
@@ -26,11 +28,17 @@
     private static final int MAX_BUFFERED_BYTES = 128 * 1024;
 
     /**
-     * The number of bytes passed to the decoder at a time, so that few commands are decoded long
-     * before they are started.
+     * The number of bytes passed to the decoder at a time. A chunk also ends with a line, so that
+     * no command is decoded long before it is started: decoded, short commands take many times the
+     * memory of their bytes.
      */
     private static final int CHUNK_BYTES = 4 * 1024;
 
+    private static final int GROWTH_BYTES = ReadSizeLimit.MIN_READ_BYTES;
+
+    /** The memory of an {@link Arrival}. */
+    private static final int ARRIVAL_BYTES = 32;
+
     /** The event loop reads its sockets before it runs a task with this delay. */
     private static final long NEXT_ITERATION_MILLIS = 1;
 
@@ -69,14 +77,8 @@
         void onReadComplete(boolean hasBytes);
     }
 
-    /** The number of bytes waiting for a decoder on all connections together. */
-    static final class BufferedTotal {
-        private static final long MAX_TOTAL_BYTES = 2L * 1024 * 1024;
-        private long bytes;
-    }
-
     private final Listener listener;
-    private final BufferedTotal bufferedTotal;
+    private final MemoryAccount account;
 
     /** The limit on reads per event loop iteration. If it is reached, more bytes may be waiting. */
     private final int maxReadsPerIteration;
@@ -109,9 +111,9 @@
 
     private boolean discarding;
 
-    ReadAhead(Listener listener, BufferedTotal bufferedTotal, int maxReadsPerIteration) {
+    ReadAhead(Listener listener, MemoryAccount account, int maxReadsPerIteration) {
         this.listener = listener;
-        this.bufferedTotal = bufferedTotal;
+        this.account = account;
         this.maxReadsPerIteration = maxReadsPerIteration;
     }
 
@@ -130,14 +132,24 @@
         ByteBuf bytes = (ByteBuf) message;
         readsThisIteration++;
         unreadSinceNanos = unreadSinceNanos == 0 ? Clock.now() : unreadSinceNanos;
-        if (discarding) {
-            bytes.release();
-            return;
+        if (!discarding) {
+            recordArrival(bytes.readableBytes());
+            append(bytes);
+            listener.onBytesBuffered();
+        }
+        bytes.release();
+    }
+
+    private void append(ByteBuf bytes) {
+        if (buffer.writableBytes() < bytes.readableBytes()) {
+            int neededBytes = buffer.readableBytes() + bytes.readableBytes();
+            int newCapacity = (neededBytes + GROWTH_BYTES - 1) / GROWTH_BYTES * GROWTH_BYTES;
+            ByteBuf enlarged = Unpooled.buffer(newCapacity).writeBytes(buffer);
+            account.reserve(newCapacity - buffer.capacity());
+            buffer.release();
+            buffer = enlarged;
         }
-        bufferedTotal.bytes += bytes.readableBytes();
-        recordArrival(bytes.readableBytes());
-        buffer = ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(ctx.alloc(), buffer, bytes);
-        listener.onBytesBuffered();
+        buffer.writeBytes(bytes);
     }
 
     private void recordArrival(int bytes) {
@@ -151,6 +163,7 @@
             last.remainingBytes += bytes;
         } else {
             arrivals.add(new Arrival(arrivalNanos, bytes));
+            account.reserve(ARRIVAL_BYTES);
         }
     }
 
@@ -254,29 +267,45 @@
      * connections together.
      */
     boolean hasCapacity() {
-        return !buffer.isReadable()
-                || buffer.readableBytes() < MAX_BUFFERED_BYTES
-                        && bufferedTotal.bytes < BufferedTotal.MAX_TOTAL_BYTES;
+        return isEmpty() || roomBytes() >= ReadSizeLimit.MIN_READ_BYTES;
+    }
+
+    /** Returns the number of bytes for which there is room; a read may take at most so many. */
+    int roomBytes() {
+        long connectionRoomBytes = MAX_BUFFERED_BYTES - buffer.readableBytes();
+        return (int) Math.max(0, Math.min(connectionRoomBytes, account.roomBytes()));
     }
 
     boolean isEmpty() {
         return !buffer.isReadable();
     }
 
-    /** Passes some bytes to the decoder; returns false if there are none. */
-    boolean feedDecoder() {
+    /**
+     * Passes some bytes to the decoder, at most to the end of a command; returns false if there are
+     * none.
+     *
+     * @param missingDataBytes the number of bytes that the decoder needs to complete a data block;
+     *     0 if it needs a line
+     */
+    boolean feedDecoder(int missingDataBytes) {
         if (isEmpty()) {
             return false;
         }
         Arrival first = arrivals.peek();
         int chunkBytes = Math.min(CHUNK_BYTES, first.remainingBytes);
+        if (missingDataBytes > 0) {
+            chunkBytes = Math.min(chunkBytes, missingDataBytes);
+        } else {
+            int lineBytes = buffer.bytesBefore(chunkBytes, (byte) '\n') + 1;
+            chunkBytes = lineBytes > 0 ? lineBytes : chunkBytes;
+        }
         arrivedAtNanos = first.atNanos;
         first.remainingBytes -= chunkBytes;
         if (first.remainingBytes == 0) {
             arrivals.poll();
+            account.release(ARRIVAL_BYTES);
         }
         ByteBuf chunk = buffer.readRetainedSlice(chunkBytes);
-        bufferedTotal.bytes -= chunkBytes;
         if (isEmpty()) {
             releaseBuffer();
         }
@@ -292,7 +321,7 @@
     }
 
     private void releaseBuffer() {
-        bufferedTotal.bytes -= buffer.readableBytes();
+        account.release(buffer.capacity() + arrivals.size() * ARRIVAL_BYTES);
         buffer.release();
         buffer = Unpooled.EMPTY_BUFFER;
         arrivals.clear();
--- a/node/src/main/java/frostrelay/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/frostrelay/node/discovery/DiscoveryClient.java
@@ -8,6 +8,7 @@
 import frostrelay.node.log.Event;
 import frostrelay.node.log.Log;
 import frostrelay.node.net.Connector;
+import frostrelay.node.net.HeapCopyHandler;
 import frostrelay.node.time.Clock;
 import frostrelay.policy.api.EndpointUpdateMode;
 import frostrelay.policy.api.PolicySettings;
@@ -213,6 +214,7 @@
                                     newChannel
                                             .pipeline()
                                             .addLast(
+                                                    new HeapCopyHandler(),
                                                     new HttpClientCodec(),
                                                     new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                                                     WatchCall.this);
--- a/node/src/main/java/frostrelay/node/memcache/MetaDecoder.java
+++ b/node/src/main/java/frostrelay/node/memcache/MetaDecoder.java
@@ -1,8 +1,10 @@
 package frostrelay.node.memcache;
 
-import frostrelay.node.net.MemoryLimiter;
+import frostrelay.node.net.HeapCumulator;
+import frostrelay.node.net.MemoryPool;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 
@@ -20,6 +22,10 @@
  *
  * <p>A short data block is buffered and delivered with its frame. A long one is delivered as a
  * streamed frame, retained {@link ByteBuf} chunks and {@link MetaFrame#END_OF_VALUE}.
+ *
+ * <p>The buffer of a command's data block grows as data arrive, and an error ends the stream if
+ * there is no memory for it. A response has got its request's work done, so it waits for memory
+ * instead: all of its data block is reserved before any of it is decoded.
  */
 public final class MetaDecoder extends ByteToMessageDecoder {
     /** Far above the longest valid line: a key of 250 bytes, an id and a parameter list. */
@@ -41,9 +47,26 @@
     private static final Set<String> CLASSIC_STORAGE_COMMANDS =
             Set.of("set", "add", "replace", "append", "prepend", "cas");
 
+    /** Provides the memory for the data blocks of responses. */
+    public interface ResponseMemory {
+        /** Returns the memory for the data block of the response that is being received. */
+        MemoryPool memoryForData();
+
+        /**
+         * Called when a response must wait for memory. Nothing should be read until {@link
+         * #onMemoryReserved}.
+         */
+        void onMemoryAwaited();
+
+        /** Called when there is memory for a response that had to wait, before it is continued. */
+        void onMemoryReserved();
+    }
+
     private enum State {
         /** At a frame boundary or within a line. */
         LINE,
+        /** Before a data block that must wait for memory. */
+        AWAITING_MEMORY,
         /** Within a data block that is delivered with its frame. */
         BUFFERED_DATA,
         /** Within a data block that is delivered in chunks. */
@@ -55,16 +78,25 @@
     private final String dataCommand;
     private final int lengthTokenIndex;
     private final int maxValueBytes;
-    private final MemoryLimiter memoryLimiter;
 
+    /** The memory for commands; null in a decoder of responses. */
+    private final MemoryPool commandMemory;
+
+    /** The memory for responses; null in a decoder of commands. */
+    private final ResponseMemory responseMemory;
+
+    private ChannelHandlerContext context;
     private State state = State.LINE;
 
     /** The line whose data block is being received; null between frames. */
     private List<String> pendingTokens;
 
-    /** The buffer of the data block, reserved with the memory limiter; null between frames. */
+    /** The buffer of the data block; null between frames. */
     private byte[] data;
 
+    /** The memory in which the buffer is reserved; null if nothing is reserved. */
+    private MemoryPool dataMemory;
+
     private int dataLength;
     private int receivedBytes;
 
@@ -72,21 +104,74 @@
             String dataCommand,
             int lengthTokenIndex,
             int maxValueBytes,
-            MemoryLimiter memoryLimiter) {
+            MemoryPool commandMemory,
+            ResponseMemory responseMemory) {
         this.maxValueBytes = maxValueBytes;
         this.dataCommand = dataCommand;
         this.lengthTokenIndex = lengthTokenIndex;
-        this.memoryLimiter = memoryLimiter;
+        this.commandMemory = commandMemory;
+        this.responseMemory = responseMemory;
+        setCumulator(HeapCumulator.INSTANCE);
     }
 
     /** Decodes commands of clients, of which {@code ms} carries a data block. */
-    public static MetaDecoder forCommands(MemoryLimiter memoryLimiter) {
-        return new MetaDecoder("ms", 2, MetaFrame.MAX_BUFFERED_VALUE_BYTES, memoryLimiter);
+    public static MetaDecoder forCommands(MemoryPool memory) {
+        return new MetaDecoder("ms", 2, MetaFrame.MAX_BUFFERED_VALUE_BYTES, memory, null);
     }
 
     /** Decodes responses of cache servers, of which {@code VA} carries a data block. */
-    public static MetaDecoder forResponses(MemoryLimiter memoryLimiter) {
-        return new MetaDecoder("VA", 1, MetaFrame.MAX_VALUE_BYTES, memoryLimiter);
+    public static MetaDecoder forResponses(ResponseMemory memory) {
+        return new MetaDecoder("VA", 1, MetaFrame.MAX_VALUE_BYTES, null, memory);
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    /**
+     * {@inheritDoc}
+     *
+     * <p>Unlike other decoders, never requests a read of its own: reading is off because there is
+     * no memory.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        discardSomeReadBytes();
+        ctx.fireChannelReadComplete();
+    }
+
+    /** Returns the number of received bytes that are not part of a frame or a data block yet. */
+    public int undecodedBytes() {
+        return actualReadableBytes();
+    }
+
+    /**
+     * Returns the number of bytes that complete the current data block with its CRLF; 0 outside of
+     * a data block.
+     */
+    public int missingDataBytes() {
+        return state == State.BUFFERED_DATA || state == State.STREAMED_DATA
+                ? dataLength - receivedBytes + CRLF_BYTES - actualReadableBytes()
+                : 0;
+    }
+
+    /** Returns whether the current response waits for memory. */
+    public boolean isAwaitingMemory() {
+        return state == State.AWAITING_MEMORY;
+    }
+
+    /**
+     * Continues with a response that waits for memory if there is some now. The frames of the bytes
+     * received before are delivered before this method returns.
+     */
+    public void resume() {
+        if (!isAwaitingMemory() || !context.channel().isActive() || !tryReserveResponse()) {
+            return;
+        }
+        responseMemory.onMemoryReserved();
+        context.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+        context.pipeline().fireChannelReadComplete();
     }
 
     /** Returns whether the last frame is complete and no byte of the next one was received. */
@@ -101,6 +186,9 @@
             case STREAMED_DATA -> readChunk(in, out);
             case BUFFERED_DATA -> readData(in, out);
             case LINE -> readLine(in, out);
+            case AWAITING_MEMORY -> {
+                // Nothing is decoded before there is memory.
+            }
             default -> throw new IllegalStateException("unexpected state " + state);
         }
     }
@@ -181,12 +269,27 @@
             if (dataLength > MetaFrame.MAX_BUFFERED_VALUE_BYTES) {
                 state = State.STREAMED_DATA;
                 out.add(MetaFrame.streamed(tokens));
-            } else {
+            } else if (responseMemory == null) {
                 state = State.BUFFERED_DATA;
+                dataMemory = commandMemory;
+            } else if (!tryReserveResponse()) {
+                state = State.AWAITING_MEMORY;
+                responseMemory.onMemoryAwaited();
             }
         }
     }
 
+    private boolean tryReserveResponse() {
+        MemoryPool memory = responseMemory.memoryForData();
+        if (!memory.tryReserve(dataLength)) {
+            return false;
+        }
+        dataMemory = memory;
+        data = new byte[dataLength];
+        state = State.BUFFERED_DATA;
+        return true;
+    }
+
     private static boolean isDecimal(String text) {
         for (int i = 0; i < text.length(); i++) {
             if (text.charAt(i) < '0' || text.charAt(i) > '9') {
@@ -243,7 +346,7 @@
                 Math.min(
                         dataLength,
                         Math.max(minBytes, Math.max(INITIAL_BUFFER_BYTES, 2 * data.length)));
-        if (!memoryLimiter.tryReserve(newBytes - data.length)) {
+        if (!dataMemory.tryReserve(newBytes - data.length)) {
             return false;
         }
         data = Arrays.copyOf(data, newBytes);
@@ -253,7 +356,10 @@
     /** Releases the buffer of the current data block, if any. */
     private void endDataBlock() {
         if (pendingTokens != null) {
-            memoryLimiter.release(data.length);
+            if (dataMemory != null) {
+                dataMemory.release(data.length);
+                dataMemory = null;
+            }
             pendingTokens = null;
             data = null;
             state = State.LINE;
--- a/node/src/main/java/frostrelay/node/memcache/package-info.java
+++ b/node/src/main/java/frostrelay/node/memcache/package-info.java
@@ -5,8 +5,8 @@
  * frostrelay.node.memcache.MetaFrame}s, {@link frostrelay.node.memcache.MetaCommandParser}
  * validates a client's frame and converts it to a {@link frostrelay.node.memcache.MetaCommand}, and
  * the command encodes itself for the cache server. A decoder belongs to one connection and runs on
- * its event loop; frames and commands are immutable. Bytes that a decoder buffers are reserved with
- * a {@link frostrelay.node.net.MemoryLimiter} and released when the frame is complete or the
- * decoder is removed. After a framing error a decoder parses no further frames.
+ * its event loop; frames and commands are immutable. A data block is reserved in a {@link
+ * frostrelay.node.net.MemoryPool} and released when the frame is complete or the decoder is
+ * removed. After a framing error a decoder parses no further frames.
  */
 package frostrelay.node.memcache;
--- a/node/src/main/java/frostrelay/node/metrics/Counters.java
+++ b/node/src/main/java/frostrelay/node/metrics/Counters.java
@@ -63,6 +63,9 @@
     /** Attempts without a free connection to a cache or the capacity to open a new connection. */
     public long noConnectionCapacity;
 
+    /** Responses that waited for memory before they were read from their cache. */
+    public long responsesDelayed;
+
     private long timers;
     private long lateTimers;
     private long maxLatenessNanos;
@@ -174,6 +177,7 @@
         putUnlessZero(counts, "fallback-answers", lastCalls);
         putUnlessZero(counts, "connects", connects);
         putUnlessZero(counts, "no-connection-capacity", noConnectionCapacity);
+        putUnlessZero(counts, "responses-delayed", responsesDelayed);
         putUnlessZero(counts, "timers", timers);
         putUnlessZero(counts, "late-timers", lateTimers);
         putUnlessZero(counts, "timer-max-lateness-us", maxLatenessNanos / NANOS_PER_MICROSECOND);
--- a/node/src/main/java/frostrelay/node/metrics/InvariantViolation.java
+++ b/node/src/main/java/frostrelay/node/metrics/InvariantViolation.java
@@ -12,5 +12,7 @@
      */
     WRITTEN_AGAINST_GUARD,
     /** The timeout forwarded to a server exceeded the client's remaining time. */
-    DEADLINE_OVERSTATED
+    DEADLINE_OVERSTATED,
+    /** Traffic held more memory than its limit and the minimum of each connection allow. */
+    MEMORY_LIMIT_EXCEEDED
 }
--- a/node/src/main/java/frostrelay/node/proxy/ActiveRequest.java
+++ b/node/src/main/java/frostrelay/node/proxy/ActiveRequest.java
@@ -3,6 +3,7 @@
 import frostrelay.node.lifecycle.ActionGuard;
 import frostrelay.node.log.Event;
 import frostrelay.node.log.Log;
+import frostrelay.node.net.MemoryPool;
 import frostrelay.policy.api.RequestClass;
 
 import io.netty.util.concurrent.Future;
@@ -41,6 +42,9 @@
          * {@link ActionGuard#NEVER} if a disconnect would be detected now.
          */
         long disconnectUndetectableSince(long now);
+
+        /** Returns the memory in which the response is received and held for this client. */
+        MemoryPool responseMemory();
     }
 
     final long id;
@@ -115,6 +119,11 @@
         return isFirst;
     }
 
+    /** Returns the memory in which a response is received and held for the client. */
+    public MemoryPool responseMemory() {
+        return responseListener.responseMemory();
+    }
+
     /** Logs a step in the processing of the request if request logging is enabled. */
     void trace(String step, Object detail) {
         if (Log.isEnabled(Event.REQUEST)) {
--- a/node/src/main/java/frostrelay/node/proxy/AttemptTracker.java
+++ b/node/src/main/java/frostrelay/node/proxy/AttemptTracker.java
@@ -144,10 +144,17 @@
         @Override
         public void run() {
             counters.recordTimer(Clock.now() - attempt.timeoutAtNanos);
-            // An attempt that was not written cannot have run: its connection did not open in time.
-            abandon(
-                    attempt,
-                    attempt.isWritten() ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED);
+            abandon(attempt, result());
+        }
+
+        private AttemptResult result() {
+            if (!attempt.isWritten()) {
+                // It cannot have run: its connection did not open in time.
+                return AttemptResult.CONNECT_FAILED;
+            }
+            return attempt.connection.isAwaitingMemory()
+                    ? AttemptResult.CANCELLED
+                    : AttemptResult.TIMEOUT;
         }
     }
 
--- a/node/src/main/java/frostrelay/node/proxy/RequestTable.java
+++ b/node/src/main/java/frostrelay/node/proxy/RequestTable.java
@@ -15,6 +15,9 @@
  * table until its last attempt has an outcome. Runs on the event loop.
  */
 final class RequestTable {
+    /** The memory of an open request besides its value: its parameters, attempts and timers. */
+    private static final int OVERHEAD_BYTES = 1024;
+
     private final MemoryLimiter memoryLimiter;
     private final Map<Long, ActiveRequest> activeRequests = new HashMap<>();
 
@@ -32,7 +35,7 @@
 
     /** Reserves memory for a request; returns false if there is not enough. */
     boolean tryReserveMemory(ClientRequest clientRequest) {
-        return memoryLimiter.tryReserve(clientRequest.sizeBytes());
+        return memoryLimiter.tryReserve(OVERHEAD_BYTES + clientRequest.sizeBytes());
     }
 
     /** Adds a request for which memory has been reserved. */
@@ -69,7 +72,7 @@
         if (activeRequest.completed
                 && activeRequest.pendingOutcomes == 0
                 && activeRequests.remove(activeRequest.id) != null) {
-            memoryLimiter.release(activeRequest.clientRequest.sizeBytes());
+            memoryLimiter.release(OVERHEAD_BYTES + activeRequest.clientRequest.sizeBytes());
         }
     }
 
--- a/node/src/main/java/frostrelay/node/proxy/Upstream.java
+++ b/node/src/main/java/frostrelay/node/proxy/Upstream.java
@@ -75,6 +75,12 @@
          * execute the request.
          */
         boolean isWritten();
+
+        /**
+         * Returns whether a response has begun to arrive and waits for memory in this process,
+         * which is not the server's fault.
+         */
+        boolean isAwaitingMemory();
     }
 
     /**
--- a/node/src/main/java/frostrelay/node/proxy/ValueStream.java
+++ b/node/src/main/java/frostrelay/node/proxy/ValueStream.java
@@ -1,5 +1,7 @@
 package frostrelay.node.proxy;
 
+import frostrelay.node.net.MemoryAccount;
+
 import io.netty.buffer.ByteBuf;
 
 import java.util.ArrayDeque;
@@ -42,14 +44,20 @@
     }
 
     private final Source source;
+    private final MemoryAccount account;
     private final Queue<ByteBuf> bufferedChunks = new ArrayDeque<>();
     private Sink sink;
     private State state = State.OPEN;
     private boolean cancelled;
 
-    /** Creates a stream and pauses its source until there is demand. */
-    public ValueStream(Source source) {
+    /**
+     * Creates a stream and pauses its source until there is demand.
+     *
+     * @param account counts the chunks that are buffered here
+     */
+    public ValueStream(Source source, MemoryAccount account) {
         this.source = source;
+        this.account = account;
         source.setDemand(false);
     }
 
@@ -60,6 +68,7 @@
         if (cancelled) {
             chunk.release();
         } else if (sink == null) {
+            account.reserve(chunk.readableBytes());
             bufferedChunks.add(chunk);
         } else {
             sink.onChunk(chunk);
@@ -97,6 +106,7 @@
     public void attach(Sink newSink) {
         sink = newSink;
         for (ByteBuf chunk = bufferedChunks.poll(); chunk != null; chunk = bufferedChunks.poll()) {
+            account.release(chunk.readableBytes());
             newSink.onChunk(chunk);
         }
         notifyEnd();
@@ -115,8 +125,10 @@
             return;
         }
         cancelled = true;
-        bufferedChunks.forEach(ByteBuf::release);
-        bufferedChunks.clear();
+        for (ByteBuf chunk = bufferedChunks.poll(); chunk != null; chunk = bufferedChunks.poll()) {
+            account.release(chunk.readableBytes());
+            chunk.release();
+        }
         if (state == State.OPEN) {
             source.cancel();
         }
--- a/node/src/main/java/frostrelay/node/upstream/UpstreamConnection.java
+++ b/node/src/main/java/frostrelay/node/upstream/UpstreamConnection.java
@@ -1,7 +1,6 @@
 package frostrelay.node.upstream;
 
 import frostrelay.node.lifecycle.ActionGuard;
-import frostrelay.node.memcache.MetaDecoder;
 import frostrelay.node.memcache.MetaFrame;
 import frostrelay.node.metrics.Counters;
 import frostrelay.node.net.Connector;
@@ -35,7 +34,7 @@
     private final ConnectionLimit limit;
     private final Upstream.Listener listener;
     private final Counters counters;
-    private final MetaDecoder decoder;
+    private final IncomingResponseMemory memory;
     private Channel channel;
 
     /**
@@ -76,7 +75,7 @@
         this.limit = pool.limit();
         this.listener = pool.listener();
         this.counters = pool.counters();
-        this.decoder = MetaDecoder.forResponses(pool.memoryLimiter());
+        this.memory = new IncomingResponseMemory(pool);
     }
 
     /** Opens the connection and writes the attempt once it is open. Must be called once. */
@@ -93,9 +92,10 @@
                                 new ChannelInitializer<>() {
                                     @Override
                                     protected void initChannel(Channel newChannel) {
+                                        memory.setChannel(newChannel);
                                         newChannel
                                                 .pipeline()
-                                                .addLast(decoder, UpstreamConnection.this);
+                                                .addLast(memory.decoder(), UpstreamConnection.this);
                                     }
                                 });
         channel =
@@ -136,12 +136,14 @@
 
     private void attachAttempt(Attempt next) {
         attempt = next;
+        memory.setAttempt(next);
         next.connection = this;
     }
 
     private void detachAttempt() {
         attempt.connection = null;
         attempt = null;
+        memory.setAttempt(null);
     }
 
     @Override
@@ -149,6 +151,11 @@
         return writeFuture != null && writeFuture.isSuccess();
     }
 
+    @Override
+    public boolean isAwaitingMemory() {
+        return memory.isAwaited();
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
@@ -188,7 +195,12 @@
                 written.activeRequest.clientRequest.encode(
                         channel.alloc(), written.announcedTimeoutMillis);
         listener.onWriteStarted(written, pooledServer.number);
+        int heldBytes = bytes.capacity();
         writeFuture = channel.writeAndFlush(bytes);
+        if (!writeFuture.isDone()) {
+            pool.writes().reserve(heldBytes);
+            writeFuture.addListener(done -> pool.writes().release(heldBytes));
+        }
         listener.onWritten(written, pooledServer.sendAllowedUntilNanos);
     }
 
@@ -262,10 +274,11 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        memory.onReadComplete();
         if (attempt != null || valueStream != null) {
             return;
         }
-        if (!decoder.isAtFrameBoundary()) {
+        if (!memory.decoder().isAtFrameBoundary()) {
             retire();
         } else if (responseReceived) {
             responseReceived = false;
@@ -297,7 +310,7 @@
                         ? completedAttempt.activeRequest.clientRequest.id()
                         : null;
         if (!shouldClose && response.streamed()) {
-            valueStream = new ValueStream(this);
+            valueStream = new ValueStream(this, pool.undecodedBytes());
         } else {
             responseReceived = !shouldClose;
         }
@@ -352,6 +365,7 @@
     private void onConnectionLost() {
         leaveIdle();
         stopCounting();
+        memory.onConnectionLost();
         failValue();
         if (attempt != null) {
             // A server cannot execute a request before its last byte has been sent; after that it
--- a/node/src/main/java/frostrelay/node/upstream/UpstreamConnectionPool.java
+++ b/node/src/main/java/frostrelay/node/upstream/UpstreamConnectionPool.java
@@ -4,7 +4,10 @@
 import frostrelay.node.config.EndpointList;
 import frostrelay.node.lifecycle.ActionGuard;
 import frostrelay.node.metrics.Counters;
+import frostrelay.node.net.MemoryAccount;
 import frostrelay.node.net.MemoryLimiter;
+import frostrelay.node.net.ReadSizeLimit;
+import frostrelay.node.net.TrafficMemory;
 import frostrelay.node.proxy.Attempt;
 import frostrelay.node.proxy.Upstream;
 import frostrelay.node.time.Clock;
@@ -13,7 +16,6 @@
 import frostrelay.policy.api.EndpointUpdateMode;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -50,11 +52,13 @@
      */
     private static final long REMOVED_SERVER_RETENTION_NANOS = 60 * Clock.NANOS_PER_SECOND;
 
+    private static final int MAX_READS_PER_ITERATION = 16;
+
     /**
-     * The largest read, which bounds the bytes that remain buffered when a streamed value is
-     * paused.
+     * A read takes at most the free memory divided by this, because bytes may be left undecoded on
+     * many connections at once.
      */
-    private static final int MAX_READ_BYTES = 16 * 1024;
+    private static final int READ_DIVISOR = 64;
 
     private final CurrentSettings currentSettings;
     private final Counters counters;
@@ -64,11 +68,19 @@
     private final ConnectionLimit limit;
     private final Map<Long, PooledServer> pooledServers = new HashMap<>();
 
-    /**
-     * Unlimited, because each connection buffers at most one value and the number of connections is
-     * limited.
-     */
-    private final MemoryLimiter memoryLimiter = new MemoryLimiter(Long.MAX_VALUE);
+    private final MemoryLimiter responseMemory;
+    private final MemoryLimiter writeMemory;
+
+    /** Requests that the servers' sockets have not accepted yet, of all connections. */
+    private final MemoryAccount writes;
+
+    /** Received bytes that are no part of a response yet, of all connections. */
+    private final MemoryAccount undecodedBytes;
+
+    /** Connections whose responses wait for memory, the longest waiting first. */
+    private final Set<IncomingResponseMemory> awaitingMemory = new LinkedHashSet<>();
+
+    private boolean resumeScheduled;
 
     /** The servers that are drained in addition to those drained by the endpoint list. */
     private Set<Long> drainedServers = Set.of();
@@ -77,18 +89,25 @@
      * Creates an empty pool, which opens no connection before the first send.
      *
      * @param maxConnections the limit on connections to all servers together
+     * @param memory the memory for requests being written and for the servers' responses
      */
     public UpstreamConnectionPool(
             CurrentSettings currentSettings,
             EventLoop loop,
             Counters counters,
             int maxConnections,
+            TrafficMemory memory,
             Listener listener) {
         this.currentSettings = currentSettings;
         this.counters = counters;
         this.limit = new ConnectionLimit(maxConnections);
         this.listener = listener;
         this.loop = loop;
+        this.responseMemory = memory.responses();
+        this.writeMemory = memory.outputBuffers();
+        this.writes = new MemoryAccount(writeMemory);
+        this.undecodedBytes = new MemoryAccount(responseMemory);
+        responseMemory.setReleaseListener(this::scheduleResume);
         this.bootstrap =
                 new Bootstrap()
                         .group(loop)
@@ -96,7 +115,37 @@
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(
                                 ChannelOption.RCVBUF_ALLOCATOR,
-                                new AdaptiveRecvByteBufAllocator(512, 2048, MAX_READ_BYTES));
+                                new ReadSizeLimit(
+                                        MAX_READS_PER_ITERATION, false, this::readRoomBytes));
+    }
+
+    private int readRoomBytes() {
+        long roomBytes = responseMemory.freeBytes() / READ_DIVISOR;
+        return (int) Math.max(0, Math.min(ReadSizeLimit.MAX_READ_BYTES, roomBytes));
+    }
+
+    /** Registers a connection whose response waits for memory. */
+    void awaitMemory(IncomingResponseMemory memory) {
+        awaitingMemory.add(memory);
+        counters.responsesDelayed++;
+    }
+
+    void stopAwaitingMemory(IncomingResponseMemory memory) {
+        awaitingMemory.remove(memory);
+    }
+
+    private void scheduleResume() {
+        if (!awaitingMemory.isEmpty() && !resumeScheduled) {
+            resumeScheduled = true;
+            loop.execute(this::resumeAwaiting);
+        }
+    }
+
+    private void resumeAwaiting() {
+        resumeScheduled = false;
+        for (IncomingResponseMemory memory : List.copyOf(awaitingMemory)) {
+            memory.tryResume();
+        }
     }
 
     @Override
@@ -183,8 +232,9 @@
         UpstreamConnection connection = mostRecentlyUsed(pooledServer);
         if (connection != null) {
             connection.sendNow(attempt);
-        } else if (!limit.ensureCapacity()) {
-            // A lack of connections is not the server's fault. SUPERSEDED means that the attempt
+        } else if (!hasCapacityFor(attempt)) {
+            // A lack of connections or memory is not the server's fault. SUPERSEDED means that the
+            // attempt
             // was not sent: it does not count against the server, and the request is rejected.
             counters.noConnectionCapacity++;
             listener.onAttemptCompleted(attempt, AttemptResult.SUPERSEDED, null, null);
@@ -193,6 +243,11 @@
         }
     }
 
+    private boolean hasCapacityFor(Attempt attempt) {
+        return attempt.activeRequest.clientRequest.sizeBytes() <= writeMemory.freeBytes()
+                && limit.ensureCapacity();
+    }
+
     /**
      * Returns the guard's decision on whether an attempt may be written now, and counts a denial.
      */
@@ -277,6 +332,7 @@
         gauges.put("hosts", pooledServers.size());
         gauges.put("links", limit.connectionCount());
         gauges.put("idle", limit.idleCount());
+        gauges.put("awaiting-memory", awaitingMemory.size());
     }
 
     ConnectionLimit limit() {
@@ -291,8 +347,12 @@
         return counters;
     }
 
-    MemoryLimiter memoryLimiter() {
-        return memoryLimiter;
+    MemoryAccount writes() {
+        return writes;
+    }
+
+    MemoryAccount undecodedBytes() {
+        return undecodedBytes;
     }
 
     /** Returns the connect timeout from the settings, at least 1 ms. */
--- a/node/src/test/java/frostrelay/node/BalancerProcess.java
+++ b/node/src/test/java/frostrelay/node/BalancerProcess.java
@@ -9,6 +9,8 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /** Starts the balancer as a separate process, for tests of its log, signals and exit code. */
@@ -18,14 +20,22 @@
     private BalancerProcess() {}
 
     static Process start(String config, Path sharedDirectory) throws IOException {
-        ProcessBuilder builder =
-                new ProcessBuilder(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-XX:TieredStopAtLevel=1",
-                        "-Xshare:auto",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        "frostrelay.node.Main");
+        return start(config, sharedDirectory, "-XX:TieredStopAtLevel=1", "-Xshare:auto");
+    }
+
+    /** Starts the balancer with the memory limits with which it is deployed. */
+    static Process startAsDeployed(String config, Path sharedDirectory) throws IOException {
+        return start(config, sharedDirectory, "@../deploy/jvm.options");
+    }
+
+    private static Process start(String config, Path sharedDirectory, String... jvmOptions)
+            throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of(jvmOptions));
+        command.addAll(
+                List.of("-cp", System.getProperty("java.class.path"), "frostrelay.node.Main"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().remove("GW_CONFIG");
         builder.environment().put("TMPDIR", sharedDirectory.toString());
         if (config != null) {
--- a/node/src/test/java/frostrelay/node/DeadlineFallbackTest.java
+++ b/node/src/test/java/frostrelay/node/DeadlineFallbackTest.java
@@ -14,6 +14,7 @@
 import frostrelay.node.memcache.MetaFrame;
 import frostrelay.node.metrics.Counters;
 import frostrelay.node.net.MemoryLimiter;
+import frostrelay.node.net.MemoryPool;
 import frostrelay.node.proxy.ActiveRequest;
 import frostrelay.node.proxy.Attempt;
 import frostrelay.node.proxy.DecisionObserver;
@@ -92,6 +93,11 @@
     }
 
     private static final class RecordingListener implements ActiveRequest.ResponseListener {
+        @Override
+        public MemoryPool responseMemory() {
+            throw new UnsupportedOperationException("no response is received");
+        }
+
         final BlockingQueue<String> responses = new LinkedBlockingQueue<>();
 
         @Override
@@ -147,7 +153,7 @@
                                                     Router::new,
                                                     (currentSettings, listener) ->
                                                             new NeverConnectingUpstream(),
-                                                    new MemoryLimiter(1_000),
+                                                    new MemoryLimiter(1_000_000),
                                                     new ActionGuard(),
                                                     new SharedDirectory.Snapshot(
                                                             Set.of(),
--- a/node/src/test/java/frostrelay/node/LongValuesTest.java
+++ b/node/src/test/java/frostrelay/node/LongValuesTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import frostrelay.node.memcache.MetaFrame;
+import frostrelay.node.net.MemoryAccount;
+import frostrelay.node.net.MemoryLimiter;
 import frostrelay.node.proxy.ValueStream;
 
 import io.netty.buffer.ByteBuf;
@@ -221,6 +223,7 @@
     @Test
     void aServerIsReadOnlyWhileItsClientAcceptsData() {
         List<String> sourceCalls = new ArrayList<>();
+        MemoryLimiter limiter = new MemoryLimiter(1_000);
         ValueStream stream =
                 new ValueStream(
                         new ValueStream.Source() {
@@ -233,12 +236,14 @@
                             public void cancel() {
                                 sourceCalls.add("cancel");
                             }
-                        });
+                        },
+                        new MemoryAccount(limiter));
         assertEquals(
                 List.of("demand false"),
                 sourceCalls,
                 "the source is paused until the sink is attached");
         stream.addChunk(Unpooled.wrappedBuffer(new byte[] {1}));
+        assertEquals(1, limiter.reservedBytes(), "a chunk that waits for the sink is counted");
         StringBuilder received = new StringBuilder();
         ValueStream.Sink sink =
                 new ValueStream.Sink() {
@@ -266,6 +271,7 @@
         stream.setDemand(true);
         stream.cancel();
         assertEquals("12end", received.toString());
+        assertEquals(0, limiter.reservedBytes());
         assertEquals(
                 List.of("demand false", "demand true", "demand false"),
                 sourceCalls,
