--- a/policy/src/main/java/frostrelay/policy/ServerSelector.java
+++ b/policy/src/main/java/frostrelay/policy/ServerSelector.java
@@ -94,7 +94,8 @@
             health.ignoresBreakers = true;
             candidates.find(now, key, state.cost, localZoneBoost);
         }
-        state.isTooHeavy = candidates.rankedCount == 0 && state.cost > SlowStart.MAX_ORDINARY_COST;
+        state.isTooHeavy =
+                candidates.rankedCount == 0 && state.cost > WorkEstimate.MAX_ORDINARY_COST;
     }
 
     private TrackedServer firstUntried(RequestState state, int limit) {
--- a/policy/src/main/java/frostrelay/policy/SlowStart.java
+++ b/policy/src/main/java/frostrelay/policy/SlowStart.java
@@ -25,12 +25,6 @@
     /** Capacity of the token bucket as a fraction of an overload window's work. */
     private static final double BURST_FRACTION = 0.25;
 
-    /**
-     * The highest cost that is admitted whatever the balancer's share of a window is, and paid off
-     * afterwards; without it, large fleets would send nothing. Ordinary requests cost less.
-     */
-    static final double MAX_ORDINARY_COST = 4;
-
     /**
      * Factor on the fraction of keys that a cold server is given. It is above 1 because servers are
      * seldom at full load.
@@ -111,7 +105,8 @@
      *
      * <p>A request may cost more than the bucket holds; its debt is paid off before the next one.
      * As long as it costs no more than a window's work, no window gets more than that and a full
-     * bucket. A heavier one must go to another server.
+     * bucket. A heavier one must go to another server. An ordinary one is admitted even if it costs
+     * more than a window's work; without that, large fleets would send nothing.
      */
     private boolean hasTokens(
             long now, TrackedServer server, double fraction, double cost, boolean mustChoose) {
@@ -120,7 +115,7 @@
         server.tokens += allowed * (now - server.refilledAtNanos) / settings.overloadWindowNanos();
         server.tokens = Math.min(burst, server.tokens);
         server.refilledAtNanos = now;
-        if (cost > Math.max(MAX_ORDINARY_COST, allowed)) {
+        if (cost > Math.max(WorkEstimate.MAX_ORDINARY_COST, allowed)) {
             return false;
         }
         return server.tokens >= (mustChoose ? 0 : Math.min(Math.max(1, cost), burst));
