--- a/node/src/main/java/frostrelay/node/memcache/MetaCommand.java
+++ b/node/src/main/java/frostrelay/node/memcache/MetaCommand.java
@@ -134,7 +134,7 @@
      * Encodes a line and its data block, if {@code data} is not null. The line must end in CRLF;
      * the CRLF after the data block is added here. The caller releases the buffer.
      */
-    public static ByteBuf encodeLine(ByteBufAllocator alloc, String line, byte[] data) {
+    private static ByteBuf encodeLine(ByteBufAllocator alloc, String line, byte[] data) {
         ByteBuf bytes = alloc.buffer(line.length() + (data == null ? 0 : data.length + 2));
         bytes.writeCharSequence(line, StandardCharsets.ISO_8859_1);
         if (data != null) {
