Judge a client's progress by the bytes that it takes, told in time

A single client that reads 100 kB/s was cut off after 10 s, with no memory short.

Cause: both limits, 2 s while memory is short and 10 s for a stalled value, stood on the time at which the system had taken a whole write. It reports a full socket as writable only when a third of its buffer is free, and that buffer grows to 3.8 MiB: 2.8 s between two signs at 500 kB/s, over 14 s at 100 kB/s. Above tcp_mem it also halves each socket's limit, and then takes nothing for seconds.

Change: TransferProgress is the rule for progress, by bytes and pace. OutputQueue counts parts of a write and offers a pending write again four times a second; a client's send buffer has a fixed size; a long value is read ahead only while memory is not short; a value is stalled if the end that is waited for is. A stream's first bytes are flushed before its demand is set, or nothing would set it while memory is short.

Why it works: signs of progress are now 0.2 s apart at 500 kB/s, 1.2 s at 100 kB/s and 2.6 s at 50 kB/s, where the receiver's window is the limit.

--- a/node/src/main/java/frostrelay/node/client/ClientConnection.java
+++ b/node/src/main/java/frostrelay/node/client/ClientConnection.java
@@ -158,6 +158,7 @@
 
     /** Closes the connection if a timeout has expired or if it is idle during a drain. */
     void checkTimeouts(long now) {
+        output.retryWrite();
         if (pendingResponses.isStalled(now)) {
             counters.truncatedValues++;
             close(CloseReason.VALUE_STALLED);
--- a/node/src/main/java/frostrelay/node/client/ClientListener.java
+++ b/node/src/main/java/frostrelay/node/client/ClientListener.java
@@ -40,6 +40,13 @@
      */
     private static final int MAX_ACCEPTS_PER_ITERATION = 16;
 
+    /**
+     * The system's buffer for a client's unread bytes. A fixed size keeps it from growing to
+     * megabytes, whose progress shows seconds late, and from being cut down when the system's own
+     * memory for sockets is short, which stops a connection for as long.
+     */
+    private static final int SEND_BUFFER_BYTES = 256 * 1024;
+
     private static final long ACCEPT_RETRY_MILLIS = 20;
 
     /**
@@ -102,6 +109,7 @@
     private ServerBootstrap configureConnections(ServerBootstrap bootstrap) {
         return bootstrap
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .childHandler(
                         new ChannelInitializer<>() {
                             @Override
--- a/node/src/main/java/frostrelay/node/client/OutputQueue.java
+++ b/node/src/main/java/frostrelay/node/client/OutputQueue.java
@@ -6,8 +6,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelProgressiveFuture;
+import io.netty.channel.ChannelProgressiveFutureListener;
+import io.netty.channel.nio.AbstractNioChannel;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -19,7 +20,7 @@
  * a channel copies what it holds to direct memory. Small responses share a buffer. Runs on the
  * event loop.
  */
-final class OutputQueue implements ChannelFutureListener {
+final class OutputQueue implements ChannelProgressiveFutureListener {
     /** The number of unsent bytes from which on no further response is started. */
     private static final int HIGH_WATER_MARK_BYTES = 64 * 1024;
 
@@ -31,7 +32,7 @@
     /** A write takes at most the free memory for writes divided by this. */
     private static final int WRITE_DIVISOR = 8;
 
-    /** How long a client may read nothing while the memory for responses is short. */
+    /** How far a client may fall behind while the memory for responses is short. */
     private static final long UNREAD_TIMEOUT_NANOS = 2 * Clock.NANOS_PER_SECOND;
 
     private static final int MAX_COPIED_BYTES = 512;
@@ -55,12 +56,16 @@
     /** The size of the write that the channel holds; 0 if there is none. */
     private int writingBytes;
 
+    /** How many bytes of that write the socket has accepted. */
+    private long acceptedBytes;
+
     private boolean inWriteLoop;
 
     /** Runs once when all bytes are sent; null if there is no such action. */
     private Runnable emptyAction;
 
-    private long lastProgressNanos = Clock.now();
+    /** What the client takes; started when bytes are added to an empty queue. */
+    private final TransferProgress clientProgress = new TransferProgress(Clock.now());
 
     /**
      * Creates an empty queue.
@@ -97,7 +102,9 @@
 
     /** Adds bytes and takes ownership of them. They are sent after {@link #flush}. */
     void add(ByteBuf bytes) {
-        lastProgressNanos = isEmpty() ? Clock.now() : lastProgressNanos;
+        if (isEmpty()) {
+            clientProgress.start(Clock.now());
+        }
         int length = bytes.readableBytes();
         queuedBytes += length;
         if (length > MAX_COPIED_BYTES) {
@@ -128,18 +135,29 @@
     }
 
     /**
-     * Returns whether the client has read nothing for too long while others need the memory of its
-     * responses.
+     * Returns whether the client has read nothing, or next to nothing, for too long while others
+     * need the memory of its responses.
      */
     boolean mustYield(long now) {
         return heapAccount.isMemoryShort()
                 && !isEmpty()
-                && now - lastProgressNanos > UNREAD_TIMEOUT_NANOS;
+                && clientProgress.behindNanos(now) > UNREAD_TIMEOUT_NANOS;
+    }
+
+    /** Returns what the client takes, as far as the socket has shown it. */
+    TransferProgress clientProgress() {
+        return clientProgress;
     }
 
-    /** Returns the time of the last progress, or at which bytes were added to an empty queue. */
-    long lastProgressNanos() {
-        return lastProgressNanos;
+    /**
+     * Offers the write that the channel holds to the socket again. The system reports a full socket
+     * as writable only when about a third of its buffer is free, which for an even reader takes
+     * seconds, but accepts bytes before that. To be called several times a second.
+     */
+    void retryWrite() {
+        if (writingBytes > 0 && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.forceFlush();
+        }
     }
 
     /** Writes as much as the socket accepts now; the rest follows when it accepts more. */
@@ -164,8 +182,9 @@
         }
         queuedBytes -= length;
         writingBytes = length;
+        acceptedBytes = 0;
         writeAccount.reserve(length);
-        channel.writeAndFlush(buffer).addListener(this);
+        channel.writeAndFlush(buffer, channel.newProgressivePromise().addListener(this));
     }
 
     private void moveFirstPart(ByteBuf buffer, int maxBytes) {
@@ -184,16 +203,30 @@
     }
 
     @Override
-    public void operationComplete(ChannelFuture written) {
+    public void operationProgressed(ChannelProgressiveFuture write, long progress, long total) {
+        recordAccepted(progress);
+    }
+
+    @Override
+    public void operationComplete(ChannelProgressiveFuture written) {
+        if (written.isSuccess()) {
+            recordAccepted(writingBytes);
+        }
         writeAccount.release(writingBytes);
         writingBytes = 0;
-        lastProgressNanos = Clock.now();
         if (!inWriteLoop && written.isSuccess()) {
             flush();
             progressListener.run();
         }
     }
 
+    private void recordAccepted(long totalBytes) {
+        if (totalBytes > acceptedBytes) {
+            clientProgress.onBytes(Clock.now(), totalBytes - acceptedBytes);
+            acceptedBytes = totalBytes;
+        }
+    }
+
     /** Runs an action once all bytes are sent, which may be now. */
     void whenEmpty(Runnable action) {
         emptyAction = action;
--- a/node/src/main/java/frostrelay/node/client/PendingResponse.java
+++ b/node/src/main/java/frostrelay/node/client/PendingResponse.java
@@ -18,7 +18,8 @@
  */
 final class PendingResponse implements ActiveRequest.ResponseListener, ValueStream.Sink {
     /**
-     * The time without progress at either end after which the transfer of a long value is aborted.
+     * The time without progress at the end that is waited for after which the transfer of a long
+     * value is aborted.
      */
     private static final long VALUE_STALL_TIMEOUT_NANOS = 10 * Clock.NANOS_PER_SECOND;
 
@@ -50,8 +51,11 @@
     /** Whether the line has been written and the value follows. */
     private boolean streaming;
 
-    /** The time at which streaming started or the last chunk was received. */
-    private long lastChunkNanos;
+    /** What the cache gives of the value; started when it is asked to go on. */
+    private final TransferProgress cacheProgress = new TransferProgress(Clock.now());
+
+    /** Whether the cache has been asked to go on with the value. */
+    private boolean cacheDemanded;
 
     PendingResponse(ClientConnection connection, OutputQueue output, MemoryAccount account) {
         this.connection = connection;
@@ -148,27 +152,37 @@
     /** Starts to write the value after its line has been written. */
     void startStreaming() {
         streaming = true;
-        lastChunkNanos = Clock.now();
+        cacheProgress.start(Clock.now());
         valueStream.attach(this);
+        // Whether more is read from the cache depends on what the client does not take at once.
+        output.flush();
         adjustDemand();
     }
 
     /**
      * Continues to read from the server while the client accepts chunks and there is memory, or if
-     * no byte waits for the client; otherwise pauses reading.
+     * no byte waits for the client; otherwise pauses reading. Nothing is read ahead while memory is
+     * short, so that values which move slowly do not make it short.
      */
     void adjustDemand() {
-        if (streaming && valueStream != null) {
-            valueStream.setDemand(
-                    output.isEmpty()
-                            || output.hasCapacity()
-                                    && account.roomBytes() >= ReadSizeLimit.MAX_READ_BYTES);
+        if (!streaming || valueStream == null) {
+            return;
+        }
+        boolean mayReadAhead =
+                output.hasCapacity()
+                        && !account.isMemoryShort()
+                        && account.roomBytes() >= ReadSizeLimit.MAX_READ_BYTES;
+        boolean isDemanded = output.isEmpty() || mayReadAhead;
+        if (isDemanded && !cacheDemanded) {
+            cacheProgress.start(Clock.now());
         }
+        cacheDemanded = isDemanded;
+        valueStream.setDemand(isDemanded);
     }
 
     @Override
     public void onChunk(ByteBuf chunk) {
-        lastChunkNanos = Clock.now();
+        cacheProgress.onBytes(Clock.now(), chunk.readableBytes());
         output.add(chunk);
         output.flush();
         adjustDemand();
@@ -189,12 +203,18 @@
         connection.onValueTruncated();
     }
 
-    /** Returns whether the value has made no progress at either end for the timeout. */
+    /** Returns whether the value has made no progress at the end that is waited for. */
     boolean isStalled(long now) {
         return streaming
                 && valueStream != null
-                && now - Math.max(lastChunkNanos, output.lastProgressNanos())
-                        > VALUE_STALL_TIMEOUT_NANOS;
+                && awaitedProgress().silentNanos(now) > VALUE_STALL_TIMEOUT_NANOS;
+    }
+
+    /**
+     * Returns the progress of the end that is waited for: the client while it has bytes to take.
+     */
+    private TransferProgress awaitedProgress() {
+        return output.isEmpty() ? cacheProgress : output.clientProgress();
     }
 
     /** Releases the data that will not be written, and ends the request if it is still open. */
--- a/node/src/test/java/frostrelay/node/NodeTestFixture.java
+++ b/node/src/test/java/frostrelay/node/NodeTestFixture.java
@@ -177,9 +177,18 @@
         return this;
     }
 
+    /** Returns the port at which the balancer serves clients. */
+    int port() {
+        return clientAddress.getPort();
+    }
+
+    /** Returns the balancer's gauges. */
+    Map<String, Object> gauges() throws Exception {
+        return loop.submit(node::gauges).get();
+    }
+
     public TestConnection client() throws IOException {
-        return new TestConnection(
-                new Socket(InetAddress.getLoopbackAddress(), clientAddress.getPort()));
+        return new TestConnection(new Socket(InetAddress.getLoopbackAddress(), port()));
     }
 
     /** Returns a client with a small receive buffer, for tests that leave responses unread. */
@@ -231,7 +240,7 @@
         for (long endNanos = System.nanoTime() + TestConnection.TIMEOUT_MILLIS * 1_000_000L;
                 System.nanoTime() < endNanos;
                 Thread.sleep(2)) {
-            gauges = loop.submit(node::gauges).get();
+            gauges = gauges();
             boolean allMatch = true;
             for (Map.Entry<String, Integer> gauge : expected.entrySet()) {
                 allMatch &=
