Let values that move delay the end of a process that got SIGTERM

Cause: ShutdownSequence stopped waiting at the end of the schedule, on the ground that only clients which do not read can be left then.

Change: DrainSchedule.mustExit decides by whether something moves: the end that is waited for is at most 3 s behind the least pace, and 60 s at most. The shutdown has two ends: when all is answered the process gives up its registration, datagrams and administrators' address, and exits when nothing moves. Dropping unstarted commands moved to ConnectionLifecycle.

--- a/node/src/main/java/frostrelay/node/ClassArchiveTraining.java
+++ b/node/src/main/java/frostrelay/node/ClassArchiveTraining.java
@@ -86,7 +86,7 @@
             };
             Node standaloneNode = start(loop, ports, 0, sharedDirectory, Options.DEFAULTS);
             int correctResponses = sendCommands(listen(loop, standaloneNode));
-            loop.submit(() -> standaloneNode.stop(false, Clock.now())).get().sync();
+            loop.submit(() -> standaloneNode.stop(false, Clock.now())).get().ended().sync();
             Options gossipOptions =
                     new Options(
                             Options.DEFAULTS.logFormat(),
@@ -100,8 +100,8 @@
             correctResponses += sendCommands(listen(loop, firstNode));
             Thread.sleep(GOSSIP_WAIT_MILLIS);
             correctResponses += loop.submit(firstNode::auditStatement).get() == null ? 0 : 1;
-            loop.submit(() -> secondNode.stop(false, Clock.now())).get().sync();
-            loop.submit(() -> firstNode.stop(false, Clock.now())).get().sync();
+            loop.submit(() -> secondNode.stop(false, Clock.now())).get().ended().sync();
+            loop.submit(() -> firstNode.stop(false, Clock.now())).get().ended().sync();
             return correctResponses;
         } finally {
             group.shutdownGracefully().sync();
--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -57,6 +57,9 @@
     private final ClusterMembership membership;
     private final SharedStateSync sharedStateSync;
 
+    /** Null if there is no address for administrators. */
+    private AdminServer adminServer;
+
     /** Reads the configuration file again, on another thread. */
     private Runnable rereadAction = () -> {};
 
@@ -188,7 +191,8 @@
         if (config.adminAddress() == null) {
             listenOnceEndpointsKnown(started);
         } else {
-            new AdminServer(loop, this, ADMIN_CALL_TIMEOUT_MILLIS)
+            adminServer = new AdminServer(loop, this, ADMIN_CALL_TIMEOUT_MILLIS);
+            adminServer
                     .listen(config.adminAddress())
                     .addListener(
                             bound -> {
@@ -351,15 +355,14 @@
     }
 
     /**
-     * Shuts down gracefully; completed when every request is answered and every client has
-     * disconnected, or the time limit is reached.
+     * Starts a graceful shutdown.
      *
      * @param isReplaced whether another process of this balancer listens, so that there is no need
      *     to wait for new clients
      * @param signalledAtNanos when the shutdown was requested; the delay before a SIGKILL starts at
      *     this time
      */
-    Future<Void> stop(boolean isReplaced, long signalledAtNanos) {
+    ShutdownSequence stop(boolean isReplaced, long signalledAtNanos) {
         DrainSchedule schedule = DrainSchedule.forShutdown(signalledAtNanos, longestDeadlineNanos);
         Log.write(
                 Event.SHUTDOWN_STARTED,
@@ -369,22 +372,20 @@
         servingState.startShutdown(schedule);
         dispatcher.capDeadlines(schedule.answerUntilNanos());
         membership.onShutdown(isReplaced);
-        Promise<Void> completion = loop.newPromise();
-        new ShutdownSequence(
-                        loop,
-                        clientListener,
-                        dispatcher,
-                        counters,
-                        signalledAtNanos,
-                        schedule,
-                        () -> finishShutdown(completion))
-                .start(isReplaced);
-        return completion;
+        ShutdownSequence shutdown =
+                new ShutdownSequence(
+                        loop, clientListener, dispatcher, counters, signalledAtNanos, schedule);
+        shutdown.answered().addListener(done -> releaseShared());
+        shutdown.ended().addListener(done -> logCounters());
+        shutdown.start(isReplaced);
+        return shutdown;
     }
 
-    private void finishShutdown(Promise<Void> completion) {
-        logCounters();
+    /** Gives up the addresses that the next process of this balancer may use. */
+    private void releaseShared() {
         membership.close();
-        completion.setSuccess(null);
+        if (adminServer != null) {
+            adminServer.stopListening();
+        }
     }
 }
--- a/node/src/main/java/frostrelay/node/NodeProcess.java
+++ b/node/src/main/java/frostrelay/node/NodeProcess.java
@@ -199,8 +199,11 @@
         long signalledAtNanos = Clock.now();
         try {
             boolean isReplaced = sharedDirectory.hasServingPeers(SHARED_DIRECTORY_TIMEOUT_MILLIS);
-            loop.submit(() -> node.stop(isReplaced, signalledAtNanos)).get().await();
+            ShutdownSequence shutdown =
+                    loop.submit(() -> node.stop(isReplaced, signalledAtNanos)).get();
+            shutdown.answered().await();
             sharedDirectory.close();
+            shutdown.ended().await();
         } catch (Exception e) {
             Log.write(Event.SHUTDOWN_FAILED, e.toString());
         }
--- a/node/src/main/java/frostrelay/node/ShutdownSequence.java
+++ b/node/src/main/java/frostrelay/node/ShutdownSequence.java
@@ -10,13 +10,15 @@
 import frostrelay.node.time.Clock;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 
 import java.util.concurrent.TimeUnit;
 
 /**
  * The graceful shutdown of a node once its drain is scheduled: stops listening, waits until every
- * request is answered and every client disconnected, and logs the progress. Runs on the event loop,
- * once.
+ * request is answered and every client disconnected, or at the end of the schedule until no
+ * response is being passed on any more, and logs the progress. Runs on the event loop, once.
  */
 final class ShutdownSequence {
     private static final long POLL_INTERVAL_MILLIS = 10;
@@ -30,8 +32,8 @@
     private final long requestedAtNanos;
     private final DrainSchedule schedule;
 
-    /** Runs when no request or client is left, or at the end of the schedule. */
-    private final Runnable onQuiescent;
+    private final Promise<Void> answered;
+    private final Promise<Void> ended;
 
     /** Elapsed time of the shutdown when its progress was last logged. */
     private long progressLoggedAtNanos;
@@ -42,15 +44,29 @@
             RequestDispatcher dispatcher,
             Counters counters,
             long requestedAtNanos,
-            DrainSchedule schedule,
-            Runnable onQuiescent) {
+            DrainSchedule schedule) {
         this.loop = loop;
         this.clientListener = clientListener;
         this.dispatcher = dispatcher;
         this.counters = counters;
         this.requestedAtNanos = requestedAtNanos;
         this.schedule = schedule;
-        this.onQuiescent = onQuiescent;
+        this.answered = loop.newPromise();
+        this.ended = loop.newPromise();
+    }
+
+    /**
+     * Returns a future that is completed when all requests have been answered and only responses
+     * may be left that are being passed on: the process gives up what another process of the same
+     * balancer needs.
+     */
+    Future<Void> answered() {
+        return answered;
+    }
+
+    /** Returns a future that is completed when the process may exit; not before the other one. */
+    Future<Void> ended() {
+        return ended;
     }
 
     /**
@@ -78,11 +94,14 @@
     private void awaitQuiescence() {
         boolean isQuiescent =
                 clientListener.connectionCount() == 0 && dispatcher.openRequestCount() == 0;
-        // At the end of the schedule every request has been answered; only clients that do not read
-        // their responses can be left.
-        if (isQuiescent || Clock.now() >= schedule.exitAtNanos()) {
+        long now = Clock.now();
+        if (isQuiescent || now >= schedule.exitAtNanos()) {
+            // Every request has been answered; only clients that have not read all can be left.
             recordUnanswered();
-            onQuiescent.run();
+            answered.trySuccess(null);
+        }
+        if (isQuiescent || schedule.mustExit(now, clientListener.leastTransferBehindNanos())) {
+            ended.setSuccess(null);
         } else {
             logProgress();
             loop.schedule(this::awaitQuiescence, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -90,7 +109,7 @@
     }
 
     private void recordUnanswered() {
-        if (dispatcher.openRequestCount() > 0) {
+        if (!answered.isDone() && dispatcher.openRequestCount() > 0) {
             counters.recordViolation(
                     InvariantViolation.UNANSWERED,
                     "at the end of the process: " + dispatcher.openRequests(MAX_LISTED_REQUESTS));
--- a/node/src/main/java/frostrelay/node/admin/AdminServer.java
+++ b/node/src/main/java/frostrelay/node/admin/AdminServer.java
@@ -46,6 +46,7 @@
     private final AdminRoutes routes;
     private final long callTimeoutMillis;
     private final Set<Connection> connections = new LinkedHashSet<>();
+    private Channel listeningChannel;
 
     /**
      * Creates a server that does not listen yet.
@@ -61,6 +62,17 @@
 
     /** Starts to accept calls; the future fails if the address cannot be bound. */
     public ChannelFuture listen(InetSocketAddress address) {
+        ChannelFuture bindFuture = newBootstrap().bind(address);
+        listeningChannel = bindFuture.channel();
+        return bindFuture;
+    }
+
+    /** Stops accepting calls and frees the address; calls in progress are completed. */
+    public void stopListening() {
+        listeningChannel.close();
+    }
+
+    private ServerBootstrap newBootstrap() {
         return new ServerBootstrap()
                 .group(loop, loop)
                 .channel(NioServerSocketChannel.class)
@@ -84,8 +96,7 @@
                                                 connection.new RequestAggregator(),
                                                 connection);
                             }
-                        })
-                .bind(address);
+                        });
     }
 
     private void evictOldest() {
--- a/node/src/main/java/frostrelay/node/client/ClientConnection.java
+++ b/node/src/main/java/frostrelay/node/client/ClientConnection.java
@@ -173,6 +173,11 @@
         }
     }
 
+    /** Returns how far the transfer of the responses is behind; see {@link PendingResponses}. */
+    long transferBehindNanos(long now) {
+        return pendingResponses.transferBehindNanos(now);
+    }
+
     private void checkIdleTimeouts(long now) {
         boolean mayDrain =
                 guard.mayCloseIdle(
@@ -336,7 +341,7 @@
             return;
         }
         if (lifecycle.state().isClosing()) {
-            discardCommands();
+            lifecycle.discard(commands, pendingResponses);
         }
         if (lifecycle.state() == ConnectionState.CLOSING && pendingResponses.isEmpty()) {
             shutdownOutput();
@@ -349,13 +354,6 @@
         }
     }
 
-    private void discardCommands() {
-        if (!commands.isEmpty()) {
-            lifecycle.recordUnanswered(lifecycle.closeReason(), pendingResponses, commands);
-        }
-        commands.discard();
-    }
-
     /**
      * Shuts the output down after the pending writes, and keeps reading until the client has closed
      * its side, for a limited time: closing a connection with unread bytes would reset it, and the
--- a/node/src/main/java/frostrelay/node/client/ClientListener.java
+++ b/node/src/main/java/frostrelay/node/client/ClientListener.java
@@ -150,6 +150,18 @@
         return limiter.size();
     }
 
+    /**
+     * Returns by how many nanoseconds the transfer of responses that is the least behind its pace
+     * is behind it; {@link Long#MAX_VALUE} if no response is being passed on.
+     */
+    public long leastTransferBehindNanos() {
+        long now = Clock.now();
+        return limiter.openConnections().stream()
+                .mapToLong(connection -> connection.transferBehindNanos(now))
+                .min()
+                .orElse(PendingResponses.NO_TRANSFER);
+    }
+
     /**
      * Closes connections whose timeouts have expired, because each occupies a descriptor and
      * memory. Must be called several times a second.
--- a/node/src/main/java/frostrelay/node/client/ConnectionLifecycle.java
+++ b/node/src/main/java/frostrelay/node/client/ConnectionLifecycle.java
@@ -27,10 +27,6 @@
         return state;
     }
 
-    CloseReason closeReason() {
-        return closeReason;
-    }
-
     /**
      * Sets the reason for which this process closes the connection, unless a reason is already set.
      */
@@ -94,6 +90,14 @@
         return guard.isShuttingDown() ? CloseReason.SHUTTING_DOWN : CloseReason.DRAINING;
     }
 
+    /** Drops the commands that have not been started, because the connection is being closed. */
+    void discard(CommandQueue commands, PendingResponses pendingResponses) {
+        if (!commands.isEmpty()) {
+            recordUnanswered(closeReason, pendingResponses, commands);
+        }
+        commands.discard();
+    }
+
     /**
      * Records a violation if a close initiated by this process drops received commands. Commands
      * may be dropped only if the client violated the protocol or disconnected.
--- a/node/src/main/java/frostrelay/node/client/PendingResponse.java
+++ b/node/src/main/java/frostrelay/node/client/PendingResponse.java
@@ -217,6 +217,16 @@
         return output.isEmpty() ? cacheProgress : output.clientProgress();
     }
 
+    /**
+     * Returns by how many nanoseconds the cache is behind the least pace while its value is being
+     * passed on; {@link PendingResponses#NO_TRANSFER} if none is.
+     */
+    long cacheBehindNanos(long now) {
+        return streaming && valueStream != null
+                ? cacheProgress.behindNanos(now)
+                : PendingResponses.NO_TRANSFER;
+    }
+
     /** Releases the data that will not be written, and ends the request if it is still open. */
     void onDisconnect(RequestDispatcher dispatcher) {
         if (valueStream != null) {
--- a/node/src/main/java/frostrelay/node/client/PendingResponses.java
+++ b/node/src/main/java/frostrelay/node/client/PendingResponses.java
@@ -7,6 +7,9 @@
 
 /** The pending responses of one client connection, in the order of its commands. */
 final class PendingResponses {
+    /** How far a transfer is behind if nothing is being passed on. */
+    static final long NO_TRANSFER = Long.MAX_VALUE;
+
     /** The limit on pending responses of one connection; further commands wait to be started. */
     private static final int MAX_PIPELINED = 64;
 
@@ -43,6 +46,18 @@
         return !queue.isEmpty() && queue.peek().isStalled(now);
     }
 
+    /**
+     * Returns by how many nanoseconds the end that is waited for is behind the least pace, as bytes
+     * of responses wait for the client or a long value waits for its cache; {@link #NO_TRANSFER} if
+     * neither is the case.
+     */
+    long transferBehindNanos(long now) {
+        if (!output.isEmpty()) {
+            return output.clientProgress().behindNanos(now);
+        }
+        return queue.isEmpty() ? NO_TRANSFER : queue.peek().cacheBehindNanos(now);
+    }
+
     /** Continues with the value that is being written after the client has accepted data. */
     void onOutputProgress() {
         if (!queue.isEmpty()) {
--- a/node/src/main/java/frostrelay/node/lifecycle/DrainSchedule.java
+++ b/node/src/main/java/frostrelay/node/lifecycle/DrainSchedule.java
@@ -48,6 +48,12 @@
      */
     private static final long SHUTDOWN_ACCEPT_NANOS = 600 * Clock.NANOS_PER_MILLISECOND;
 
+    /** How far a transfer of a response may fall behind its pace and still delay the exit. */
+    private static final long MAX_TRANSFER_BEHIND_NANOS = 3 * Clock.NANOS_PER_SECOND;
+
+    /** Maximum time after the last answer was due for which transfers delay the exit. */
+    private static final long MAX_TRANSFER_NANOS = 60 * Clock.NANOS_PER_SECOND;
+
     /** Maximum time for slow clients to read the remaining answers after the last deadline. */
     private static final long FLUSH_TIMEOUT_NANOS = 2_000 * Clock.NANOS_PER_MILLISECOND;
 
@@ -77,8 +83,25 @@
                 true, acceptUntilNanos, acceptUntilNanos, answerUntilNanos, answerUntilNanos);
     }
 
-    /** Returns the time by which the process exits without being killed. */
+    /**
+     * Returns the time at which the process exits without being killed, unless responses are still
+     * being passed on.
+     */
     public long exitAtNanos() {
         return answerUntilNanos + FLUSH_TIMEOUT_NANOS;
     }
+
+    /**
+     * Returns whether the process exits at {@code now} although clients are connected. A platform
+     * that kills it later than it may lets values that have begun come whole.
+     *
+     * @param leastBehindNanos how far the least delayed transfer of a response is behind its pace;
+     *     {@link Long#MAX_VALUE} without one
+     */
+    public boolean mustExit(long now, long leastBehindNanos) {
+        boolean mayAwaitTransfer =
+                leastBehindNanos <= MAX_TRANSFER_BEHIND_NANOS
+                        && now < answerUntilNanos + MAX_TRANSFER_NANOS;
+        return now >= exitAtNanos() && !mayAwaitTransfer;
+    }
 }
--- a/node/src/test/java/frostrelay/node/LateWorkTest.java
+++ b/node/src/test/java/frostrelay/node/LateWorkTest.java
@@ -48,7 +48,7 @@
     }
 
     private static Future<Void> startShutdown(NodeTestFixture fixture) throws Exception {
-        return fixture.loop.submit(() -> fixture.node.stop(false, Clock.now())).get();
+        return fixture.loop.submit(() -> fixture.node.stop(false, Clock.now())).get().ended();
     }
 
     private static long millisSince(long startNanos) {
--- a/node/src/test/java/frostrelay/node/StopTest.java
+++ b/node/src/test/java/frostrelay/node/StopTest.java
@@ -61,7 +61,7 @@
             busyClient.write("mg 1 v Olong Pc=read,t=acme,d=9000\r\n");
             fakeServer[0].awaitCommand();
             Future<?> stopped =
-                    fixture.loop.submit(() -> fixture.node.stop(false, Clock.now())).get();
+                    fixture.loop.submit(() -> fixture.node.stop(false, Clock.now())).get().ended();
             try (TestConnection lateClient = fixture.client()) {
                 assertEquals(
                         "VA 65536 O1",
--- a/node/src/test/java/frostrelay/node/lifecycle/DrainScheduleTest.java
+++ b/node/src/test/java/frostrelay/node/lifecycle/DrainScheduleTest.java
@@ -65,4 +65,18 @@
                     "longest deadline in ms: " + longestDeadlineMillis);
         }
     }
+
+    /** Only transfers that move delay the exit, and not for ever. */
+    @Test
+    void transfersThatMoveDelayTheExitWithinALimit() {
+        DrainSchedule shutdown = DrainSchedule.forShutdown(0, 1_000 * NANOS_PER_MILLISECOND);
+        long exitAtNanos = shutdown.exitAtNanos();
+        long onPaceNanos = 2_900 * NANOS_PER_MILLISECOND;
+        long stalledNanos = 3_100 * NANOS_PER_MILLISECOND;
+        assertFalse(shutdown.mustExit(exitAtNanos - 1, Long.MAX_VALUE));
+        assertTrue(shutdown.mustExit(exitAtNanos, Long.MAX_VALUE), "no transfer");
+        assertTrue(shutdown.mustExit(exitAtNanos, stalledNanos));
+        assertFalse(shutdown.mustExit(exitAtNanos + 30_000 * NANOS_PER_MILLISECOND, onPaceNanos));
+        assertTrue(shutdown.mustExit(exitAtNanos + 60_000 * NANOS_PER_MILLISECOND, onPaceNanos));
+    }
 }
