Call a moved discovery again in time after a rejected call

Cause: the pause after a failed call is a stagger by rank, for a discovery that is down. It did not know that discovery had moved, nor that the failed call had waited.

Change: CallSchedule derives the latest time of the next call from the time at which changes are binding, less the 3 s for which discovery may queue it; DiscoveryClient calls then if the decision module has not subscribed before. Where a whole tier calls (discovery down, a lost watch) or it is too late, its stagger decides as before. The HTTP call has a class of its own, DiscoveryCall.

--- a/node/src/main/java/frostrelay/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/frostrelay/node/discovery/DiscoveryClient.java
@@ -1,37 +1,15 @@
 package frostrelay.node.discovery;
 
 import frostrelay.node.config.Config;
-import frostrelay.node.config.ConfigException;
 import frostrelay.node.config.CurrentSettings;
 import frostrelay.node.config.EndpointList;
-import frostrelay.node.config.Json;
 import frostrelay.node.log.Event;
 import frostrelay.node.log.Log;
-import frostrelay.node.net.Connector;
-import frostrelay.node.net.HeapCopyHandler;
 import frostrelay.node.time.Clock;
 import frostrelay.policy.api.EndpointUpdateMode;
 import frostrelay.policy.api.PolicySettings;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 
 import java.net.InetSocketAddress;
@@ -40,55 +18,28 @@
 
 /**
  * Watches the discovery's endpoint list of cache servers by long polling, from {@link #subscribe}
- * until a call fails. Owned by the event loop; not thread-safe.
+ * on. Owned by the event loop; not thread-safe.
  */
 public final class DiscoveryClient {
     /**
      * Receives every list in order. A failure, {@link EndpointUpdateMode#FAILED}, ends the watch;
-     * the decision module decides when to subscribe again.
+     * the decision module may subscribe again, and this client does if there is a latest time.
      */
     public interface Listener {
         void onEndpointList(
                 EndpointUpdateMode mode, long revision, List<EndpointList.Endpoint> endpoints);
     }
 
-    /**
-     * Time that a watch may wait for an update, per instance of the tier. An update that an
-     * unresponsive watch misses becomes binding 6 s after the watch stopped responding, or 2 s
-     * after its wait, so short waits are better; but each call uses capacity of the discovery,
-     * which all instances share. All instances together make at most two calls a second that return
-     * nothing, until {@link #MAX_WATCH_WAIT_MILLIS} is reached. An agent, to which lists are
-     * pushed, serves this balancer only, so the minimum applies.
-     */
-    private static final long WATCH_WAIT_PER_INSTANCE_MILLIS = 500;
-
-    private static final long MIN_WATCH_WAIT_MILLIS = 2_000;
-    private static final long MAX_WATCH_WAIT_MILLIS = 20_000;
-
-    /**
-     * Time after its wait from which a watch without an answer is unresponsive. It is half of the 2
-     * s after which a missed update becomes binding, so that one more call can be answered in time.
-     */
-    private static final long RESPONSE_GRACE_MILLIS = 1_000;
-
-    /**
-     * The discovery may queue a call for 3 s before it rejects it; a shorter timeout would lose the
-     * call's place in the queue.
-     */
-    private static final long QUEUEING_TIMEOUT_MILLIS = 3_500;
-
-    private static final int CONNECTION_TIMEOUT_MILLIS = 1_000;
-
     /** At most one call in this time, in case every answer is immediate; a watch allows 200 ms. */
     private static final long MIN_CALL_INTERVAL_MILLIS = 100;
 
-    private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
     private static final String ENDPOINTS_PATH = "/catalog/members";
 
     private InetSocketAddress address;
     private final CurrentSettings currentSettings;
     private final EventLoop loop;
     private final Listener listener;
+    private final CallSchedule schedule = new CallSchedule(Clock.now());
     private long revision;
 
     /**
@@ -103,6 +54,9 @@
     /** The call in progress or about to start; null without a watch. */
     private WatchCall currentCall;
 
+    /** Subscribes at the latest time after a failure; null if there has been none. */
+    private Future<?> retryTask;
+
     /**
      * Creates a client that does nothing until {@link #subscribe}.
      *
@@ -119,34 +73,38 @@
         this.needsFullList = !currentSettings.get().policySettings.subscribe();
     }
 
-    private long watchWaitMillis() {
+    /** An agent, to which lists are pushed, serves this balancer only. */
+    private long watchWaitNanos() {
         PolicySettings settings = currentSettings.get().policySettings;
-        return settings.subscribe()
-                ? Math.max(
-                        MIN_WATCH_WAIT_MILLIS,
-                        Math.min(
-                                MAX_WATCH_WAIT_MILLIS,
-                                settings.instanceCount() * WATCH_WAIT_PER_INSTANCE_MILLIS))
-                : MIN_WATCH_WAIT_MILLIS;
+        return CallSchedule.watchWaitNanos(settings.subscribe() ? settings.instanceCount() : 1);
     }
 
     /** Starts a watch from the last known version, unless there is one. */
     public void subscribe() {
         if (currentCall == null) {
-            currentCall = new WatchCall();
-            currentCall.start();
+            startCall();
         }
     }
 
+    private void startCall() {
+        currentCall = new WatchCall();
+        currentCall.start();
+    }
+
     /**
      * Restarts the watch from the last known version, as the update that the call in progress
      * should have returned may have been lost. Does nothing without a watch.
      */
     public void refresh() {
+        if (currentCall != null) {
+            cancelCalls();
+            startCall();
+        }
+    }
+
+    private void cancelCalls() {
         if (currentCall != null) {
             currentCall.cancel();
-            currentCall = new WatchCall();
-            currentCall.start();
         }
     }
 
@@ -163,107 +121,66 @@
         address = newAddress;
         isAddressNew = true;
         needsFullList = true;
-        if (currentCall != null) {
-            currentCall.cancel();
-        }
-        currentCall = new WatchCall();
-        currentCall.start();
+        schedule.onMoved(Clock.now());
+        cancelCalls();
+        startCall();
     }
 
-    /**
-     * One call, on a separate connection: if a reused connection failed, it would be unknown
-     * whether the request in flight was processed.
-     */
-    private final class WatchCall extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /** One call and its timers. */
+    private final class WatchCall implements DiscoveryCall.Listener {
+        /** How long the call asks to wait for a change; 0 if it is answered at once. */
+        private long waitNanos;
+
         private long startedAtNanos;
+        private DiscoveryCall call;
         private Future<?> timeoutTask;
-        private Channel channel;
         private boolean isFinished;
 
         void start() {
             if (isFinished) {
                 return;
             }
+            if (retryTask != null) {
+                retryTask.cancel(false);
+            }
             startedAtNanos = Clock.now();
+            waitNanos = needsFullList ? 0 : watchWaitNanos();
+            call = new DiscoveryCall(address, uri(), currentSettings, this);
             // Before connecting, which may fail synchronously.
-            timeoutTask = loop.schedule(this::onTimeout, timeoutMillis(), TimeUnit.MILLISECONDS);
-            channel =
-                    Connector.connect(
-                            newBootstrap(),
-                            address,
-                            loop,
-                            cause -> fail("no connection: " + cause.getMessage()));
-        }
-
-        private long timeoutMillis() {
-            return needsFullList
-                    ? QUEUEING_TIMEOUT_MILLIS
-                    : Math.max(QUEUEING_TIMEOUT_MILLIS, watchWaitMillis() + RESPONSE_GRACE_MILLIS);
+            scheduleExpiry();
+            call.start(loop);
         }
 
-        private Bootstrap newBootstrap() {
-            return new Bootstrap()
-                    .group(loop)
-                    .channel(NioSocketChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECTION_TIMEOUT_MILLIS)
-                    .handler(
-                            new ChannelInitializer<>() {
-                                @Override
-                                protected void initChannel(Channel newChannel) {
-                                    newChannel
-                                            .pipeline()
-                                            .addLast(
-                                                    new HeapCopyHandler(),
-                                                    new HttpClientCodec(),
-                                                    new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-                                                    WatchCall.this);
-                                }
-                            });
+        private String uri() {
+            return waitNanos == 0
+                    ? ENDPOINTS_PATH
+                    : ENDPOINTS_PATH
+                            + "?since="
+                            + revision
+                            + "&timeout_ms="
+                            + waitNanos / Clock.NANOS_PER_MILLISECOND;
         }
 
-        private String requestUri() {
-            return needsFullList
-                    ? ENDPOINTS_PATH
-                    : ENDPOINTS_PATH + "?since=" + revision + "&timeout_ms=" + watchWaitMillis();
+        private void scheduleExpiry() {
+            long expiresAtNanos = startedAtNanos + CallSchedule.expiresAfterNanos(waitNanos);
+            timeoutTask =
+                    loop.schedule(this::expire, expiresAtNanos - Clock.now(), TimeUnit.NANOSECONDS);
         }
 
-        @Override
-        public void channelActive(ChannelHandlerContext ctx) {
-            FullHttpRequest request =
-                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, requestUri());
-            request.headers()
-                    .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
-                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            ctx.writeAndFlush(request);
+        /**
+         * Gives the call up without a failure: the discovery may be healthy and only this call's
+         * connection dead. The current call is restarted at once.
+         */
+        private void expire() {
+            Log.write(Event.DISCOVERY_FAILED, "silence");
+            cancel();
+            startCall();
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            ctx.close();
-            if (isFinished) {
-                return;
-            }
-            if (!response.status().equals(HttpResponseStatus.OK)
-                    || response.decoderResult().isFailure()) {
-                fail("status " + response.status().code());
-                return;
-            }
-            EndpointList endpointList;
-            try {
-                endpointList =
-                        EndpointList.parse(
-                                Json.parse(ByteBufUtil.getBytes(response.content())),
-                                currentSettings.get());
-            } catch (ConfigException e) {
-                fail(e.getMessage());
-                return;
-            }
+        public void onList(EndpointList endpointList) {
             finish();
-            onList(endpointList);
-        }
-
-        private void onList(EndpointList endpointList) {
+            schedule.onList(Clock.now());
             if (isAddressNew) {
                 Log.write(
                         Event.DISCOVERY_ADDRESS_CONNECTED,
@@ -292,13 +209,20 @@
         }
 
         @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            fail("connection closed before the end of the answer");
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            fail(cause.toString());
+        public void onFailure(String reason) {
+            finish();
+            Log.write(Event.DISCOVERY_FAILED, reason);
+            currentCall = null;
+            long now = Clock.now();
+            long retryAtNanos = schedule.onFailure(now, startedAtNanos, call.isConnected());
+            if (retryAtNanos != CallSchedule.ANY_TIME) {
+                retryTask =
+                        loop.schedule(
+                                DiscoveryClient.this::subscribe,
+                                retryAtNanos - now,
+                                TimeUnit.NANOSECONDS);
+            }
+            listener.onEndpointList(EndpointUpdateMode.FAILED, revision, List.of());
         }
 
         private void finish() {
@@ -311,28 +235,9 @@
         /** Ends the call, or prevents it from starting, without notifying the listener. */
         void cancel() {
             finish();
-            if (channel != null) {
-                channel.close();
+            if (call != null) {
+                call.cancel();
             }
         }
-
-        /**
-         * Restarts the watch at once, without a backoff: the discovery may be healthy and only this
-         * call's connection dead.
-         */
-        private void onTimeout() {
-            Log.write(Event.DISCOVERY_FAILED, "silence");
-            refresh();
-        }
-
-        private void fail(String reason) {
-            if (isFinished) {
-                return;
-            }
-            cancel();
-            currentCall = null;
-            Log.write(Event.DISCOVERY_FAILED, reason);
-            listener.onEndpointList(EndpointUpdateMode.FAILED, revision, List.of());
-        }
     }
 }
