Start the next watch before what a silent one misses can be binding

Cause: the call that replaces a silent watch went out 1 s after its wait. Changes are binding 2 s after the wait, so a call that may be queued for 3 s does not fit behind it.

Change: the next watch starts beside the open one, 3.5 s before the changes that the first may miss are binding: 3 s for the queue and 0.5 s for one more call. The first stays open, as giving it up would bind its changes earlier. Waits are longer by as much, so that a tier calls no more often.

--- a/node/src/main/java/frostrelay/node/discovery/CallSchedule.java
+++ b/node/src/main/java/frostrelay/node/discovery/CallSchedule.java
@@ -19,6 +19,9 @@
     /** After a failed call, and in an unresponsive watch, changes are binding so long after. */
     private static final long BINDING_AFTER_CHANGE_NANOS = 6 * Clock.NANOS_PER_SECOND;
 
+    /** Changes that a watch has missed are not binding before this time after its wait. */
+    private static final long BINDING_AFTER_WAIT_NANOS = 2 * Clock.NANOS_PER_SECOND;
+
     /** The longest time for which discovery queues a call before it rejects it. */
     private static final long MAX_QUEUE_NANOS = 3 * Clock.NANOS_PER_SECOND;
 
@@ -28,11 +31,11 @@
      */
     private static final long DRAIN_SLACK_NANOS = 250 * Clock.NANOS_PER_MILLISECOND;
 
-    /** The time for an answer to arrive after the queue, or after the wait of a watch. */
-    private static final long RESPONSE_GRACE_NANOS = 500 * Clock.NANOS_PER_MILLISECOND;
+    /** The time for one more call if the one that replaces a watch is rejected at the last. */
+    private static final long RETRY_RESERVE_NANOS = 500 * Clock.NANOS_PER_MILLISECOND;
 
-    /** The same after the wait of a watch, in addition. */
-    private static final long WAIT_GRACE_NANOS = 500 * Clock.NANOS_PER_MILLISECOND;
+    /** The time for an answer to arrive after the queue, or after the wait of a watch. */
+    private static final long RESPONSE_GRACE_NANOS = 200 * Clock.NANOS_PER_MILLISECOND;
 
     /** A call that fails within this time was not queued: discovery is down. */
     private static final long MIN_QUEUED_NANOS = Clock.NANOS_PER_SECOND;
@@ -44,14 +47,17 @@
     private static final long CONTINUOUS_WATCH_NANOS = 200 * Clock.NANOS_PER_MILLISECOND;
 
     /**
-     * The time for which a watch waits, per instance of the tier: all instances together make at
-     * most two calls a second that return nothing, until the maximum is reached.
+     * The time between the starts of two watches, per instance of the tier: all instances together
+     * make at most two calls a second that return nothing, until the maximum is reached.
      */
     private static final long PERIOD_PER_INSTANCE_NANOS = 500 * Clock.NANOS_PER_MILLISECOND;
 
     private static final long MIN_PERIOD_NANOS = 2 * Clock.NANOS_PER_SECOND;
     private static final long MAX_PERIOD_NANOS = 20 * Clock.NANOS_PER_SECOND;
 
+    /** The time by which a watch is replaced before its changes can be binding. */
+    private static final long REPLACEMENT_LEAD_NANOS = MAX_QUEUE_NANOS + RETRY_RESERVE_NANOS;
+
     /** The time of the last list, from which the balancer knew all changes. */
     private long lastListNanos;
 
@@ -76,7 +82,18 @@
                 Math.max(
                         MIN_PERIOD_NANOS,
                         Math.min(MAX_PERIOD_NANOS, instanceCount * PERIOD_PER_INSTANCE_NANOS));
-        return periodNanos;
+        long waitNanos = periodNanos - BINDING_AFTER_WAIT_NANOS + REPLACEMENT_LEAD_NANOS;
+        return replacedAfterNanos(periodNanos) > periodNanos ? periodNanos : waitNanos;
+    }
+
+    /**
+     * Returns the time after the start of a watch without an answer at which another one starts
+     * beside it: early enough for the changes that an unresponsive watch would miss.
+     */
+    static long replacedAfterNanos(long waitNanos) {
+        long bindingNanos =
+                Math.max(BINDING_AFTER_CHANGE_NANOS, waitNanos + BINDING_AFTER_WAIT_NANOS);
+        return bindingNanos - REPLACEMENT_LEAD_NANOS;
     }
 
     /**
@@ -86,7 +103,7 @@
      * @param waitNanos how long the call asks to wait for a change; 0 if it is answered at once
      */
     static long expiresAfterNanos(long waitNanos) {
-        return Math.max(MAX_QUEUE_NANOS, waitNanos + WAIT_GRACE_NANOS) + RESPONSE_GRACE_NANOS;
+        return Math.max(MAX_QUEUE_NANOS, waitNanos) + RESPONSE_GRACE_NANOS;
     }
 
     /** Records a list, also one without changes. */
--- a/node/src/main/java/frostrelay/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/frostrelay/node/discovery/DiscoveryClient.java
@@ -54,6 +54,11 @@
     /** The call in progress or about to start; null without a watch. */
     private WatchCall currentCall;
 
+    /**
+     * The watch that the current call has replaced before its wait was over; null if there is none.
+     */
+    private WatchCall replacedCall;
+
     /** Subscribes at the latest time after a failure; null if there has been none. */
     private Future<?> retryTask;
 
@@ -106,6 +111,10 @@
         if (currentCall != null) {
             currentCall.cancel();
         }
+        if (replacedCall != null) {
+            replacedCall.cancel();
+            replacedCall = null;
+        }
     }
 
     /**
@@ -147,7 +156,7 @@
             waitNanos = needsFullList ? 0 : watchWaitNanos();
             call = new DiscoveryCall(address, uri(), currentSettings, this);
             // Before connecting, which may fail synchronously.
-            scheduleExpiry();
+            scheduleTimeout();
             call.start(loop);
         }
 
@@ -161,12 +170,34 @@
                             + waitNanos / Clock.NANOS_PER_MILLISECOND;
         }
 
+        private void scheduleTimeout() {
+            if (waitNanos == 0) {
+                scheduleExpiry();
+            } else {
+                timeoutTask =
+                        loop.schedule(
+                                this::replace,
+                                CallSchedule.replacedAfterNanos(waitNanos),
+                                TimeUnit.NANOSECONDS);
+            }
+        }
+
         private void scheduleExpiry() {
             long expiresAtNanos = startedAtNanos + CallSchedule.expiresAfterNanos(waitNanos);
             timeoutTask =
                     loop.schedule(this::expire, expiresAtNanos - Clock.now(), TimeUnit.NANOSECONDS);
         }
 
+        /** Starts the next watch beside this one, which goes on until its own answer. */
+        private void replace() {
+            if (replacedCall != null) {
+                replacedCall.cancel();
+            }
+            replacedCall = this;
+            scheduleExpiry();
+            startCall();
+        }
+
         /**
          * Gives the call up without a failure: the discovery may be healthy and only this call's
          * connection dead. The current call is restarted at once.
@@ -174,12 +205,23 @@
         private void expire() {
             Log.write(Event.DISCOVERY_FAILED, "silence");
             cancel();
-            startCall();
+            if (this == replacedCall) {
+                replacedCall = null;
+            } else {
+                startCall();
+            }
         }
 
         @Override
         public void onList(EndpointList endpointList) {
             finish();
+            boolean isReplaced = this == replacedCall;
+            if (isReplaced) {
+                replacedCall = null;
+                if (endpointList.revision() < revision) {
+                    return;
+                }
+            }
             schedule.onList(Clock.now());
             if (isAddressNew) {
                 Log.write(
@@ -191,7 +233,9 @@
             isAddressNew = false;
             needsFullList = false;
             revision = endpointList.revision();
-            scheduleNextCall();
+            if (!isReplaced) {
+                scheduleNextCall();
+            }
             listener.onEndpointList(
                     endpointList.isFull() ? EndpointUpdateMode.FULL : EndpointUpdateMode.DELTA,
                     endpointList.revision(),
@@ -212,6 +256,10 @@
         public void onFailure(String reason) {
             finish();
             Log.write(Event.DISCOVERY_FAILED, reason);
+            if (this == replacedCall) {
+                replacedCall = null;
+                return;
+            }
             currentCall = null;
             long now = Clock.now();
             long retryAtNanos = schedule.onFailure(now, startedAtNanos, call.isConnected());
--- a/node/src/test/java/frostrelay/node/DiscoveryDeadlineTest.java
+++ b/node/src/test/java/frostrelay/node/DiscoveryDeadlineTest.java
@@ -75,4 +75,27 @@
         long repeatedMillis = millisSince(movedNanos);
         assertTrue(repeatedMillis < 4_000, "changes are binding; ms: " + repeatedMillis);
     }
+
+    /**
+     * Guards against sends to a drained server because the call that replaces an unresponsive watch
+     * waits in a queue; and the list that this call brings counts.
+     */
+    @Test
+    void anUnresponsiveWatchIsReplacedBeforeItsWaitIsOver() throws Exception {
+        long startNanos = System.nanoTime();
+        // The fake discovery does not answer the watch that is open, nor its replacement yet.
+        String replacement = fakeDiscovery.requests.poll(30, TimeUnit.SECONDS);
+        long replacedMillis = millisSince(startNanos);
+        long waitMillis = Long.parseLong(replacement.replaceAll(".*timeout_ms=(\\d+).*", "$1"));
+        assertTrue(
+                replacedMillis + QUEUE_MILLIS < waitMillis + 2_000,
+                "ms until the next call: " + replacedMillis + ", wait: " + waitMillis);
+        String target = NodeTestFixture.target("s-9", "127.0.0.1:9", "Ready");
+        fakeDiscovery.responses.add(FakeDiscovery.listResponse(9, false, target));
+        fakeDiscovery.responses.add(FakeDiscovery.listResponse(9, false, target));
+        fakeDiscovery.awaitRequest("since=9");
+        assertTrue(
+                fixture.loop.submit(() -> fixture.node.setAdminDrain("s-9", true)).get().get(),
+                "the list has been applied");
+    }
 }
--- a/node/src/test/java/frostrelay/node/discovery/CallScheduleTest.java
+++ b/node/src/test/java/frostrelay/node/discovery/CallScheduleTest.java
@@ -5,6 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
 import org.junit.jupiter.api.Test;
 
 /**
@@ -30,6 +34,20 @@
                 event + ", ns too late: " + (sendsEndAt - bindingAt - DRAIN_GRACE));
     }
 
+    /** Guards against a watch whose changes come late as its replacement waits in a queue. */
+    @Property
+    void anUnresponsiveWatchIsReplacedInTime(@ForAll @IntRange(min = 1, max = 200) int instances) {
+        long wait = CallSchedule.watchWaitNanos(instances);
+        long replacedAfter = CallSchedule.replacedAfterNanos(wait);
+        long bindingAfter = Math.max(6 * SECOND, wait + 2 * SECOND);
+        assertInTime(bindingAfter, replacedAfter, "unresponsive watch");
+        long rejectedAfter = replacedAfter + QUEUE;
+        assertTrue(rejectedAfter + SENDS_END_AFTER_LIST + SECOND / 2 < bindingAfter + DRAIN_GRACE);
+        long periodNanos = Math.min(wait, replacedAfter);
+        double callsPerSecond = instances * (double) SECOND / periodNanos;
+        assertTrue(callsPerSecond <= Math.max(2.01, instances / 19.0), "of all: " + callsPerSecond);
+    }
+
     /** Guards against a first call after a move that is rejected, and a next one too late. */
     @Test
     void aMovedDiscoveryIsCalledAgainAtOnceIfItRejectsAQueuedCall() {
