Repeat at once the call that replaces a silent watch and is rejected

Callers would see: late sends to a draining cache if a watch fell silent and the call that replaced it was queued for 3 s and rejected.

Cause: after a failure CallSchedule took changes for binding 6 s after the last list, also where a watch was open, whose changes are binding 2 s after its wait. So it was too late for haste, and the stagger decided.

Change: CallSchedule keeps the time from which missed changes are binding, by what missed them.

--- a/node/src/main/java/frostrelay/node/discovery/CallSchedule.java
+++ b/node/src/main/java/frostrelay/node/discovery/CallSchedule.java
@@ -61,8 +61,8 @@
     /** The time of the last list, from which the balancer knew all changes. */
     private long lastListNanos;
 
-    /** The time since which changes may have been missed; meaningful after a failure. */
-    private long unknownSinceNanos;
+    /** The time from which changes that may have been missed are binding, after a failure. */
+    private long bindingAtNanos;
 
     /** Whether the last call failed. */
     private boolean isFailing;
@@ -91,9 +91,12 @@
      * beside it: early enough for the changes that an unresponsive watch would miss.
      */
     static long replacedAfterNanos(long waitNanos) {
-        long bindingNanos =
-                Math.max(BINDING_AFTER_CHANGE_NANOS, waitNanos + BINDING_AFTER_WAIT_NANOS);
-        return bindingNanos - REPLACEMENT_LEAD_NANOS;
+        return bindingAfterNanos(waitNanos) - REPLACEMENT_LEAD_NANOS;
+    }
+
+    /** Returns the time after its start from which changes that a watch misses are binding. */
+    private static long bindingAfterNanos(long waitNanos) {
+        return Math.max(BINDING_AFTER_CHANGE_NANOS, waitNanos + BINDING_AFTER_WAIT_NANOS);
     }
 
     /**
@@ -126,24 +129,27 @@
      * it is too late. A whole tier then calls, and would fail again if it did so at once.
      *
      * @param startedAtNanos when the call started
+     * @param waitNanos how long a watch waits; 0 for a call that is answered at once
      * @param isConnected whether discovery had accepted its connection
      */
-    long onFailure(long now, long startedAtNanos, boolean isConnected) {
+    long onFailure(long now, long startedAtNanos, long waitNanos, boolean isConnected) {
         long elapsedNanos = now - startedAtNanos;
         boolean wasQueued = isConnected && elapsedNanos >= MIN_QUEUED_NANOS;
         boolean wasLost =
                 !isFailing && elapsedNanos > expiresAfterNanos(0) && isContinuous(startedAtNanos);
         if (!wasQueued || wasLost) {
-            unknownSinceNanos = now;
+            bindingAtNanos = now + BINDING_AFTER_CHANGE_NANOS;
         } else if (!isFailing) {
-            unknownSinceNanos = lastListNanos;
+            // A call that follows no list replaces an unresponsive watch.
+            bindingAtNanos =
+                    lastListNanos + bindingAfterNanos(isContinuous(startedAtNanos) ? 0 : waitNanos);
         }
         isFailing = true;
         isMoved &= now <= movedAtNanos + BINDING_AFTER_MOVE_NANOS + DRAIN_SLACK_NANOS;
         long dueNanos = listDueNanos();
         boolean isUrgent = isMoved || wasQueued && !wasLost;
         if (!isUrgent || now > dueNanos) {
-            unknownSinceNanos = now;
+            bindingAtNanos = now + BINDING_AFTER_CHANGE_NANOS;
             return ANY_TIME;
         }
         return Math.max(dueNanos - MAX_QUEUE_NANOS, wasQueued ? now : now + RETRY_PAUSE_NANOS);
@@ -151,11 +157,11 @@
 
     /** Returns the time by which the next list is needed. */
     private long listDueNanos() {
-        long bindingAtNanos = unknownSinceNanos + BINDING_AFTER_CHANGE_NANOS;
-        if (isMoved) {
-            bindingAtNanos = Math.min(bindingAtNanos, movedAtNanos + BINDING_AFTER_MOVE_NANOS);
-        }
-        return bindingAtNanos + DRAIN_SLACK_NANOS;
+        long earliestBindingNanos =
+                isMoved
+                        ? Math.min(bindingAtNanos, movedAtNanos + BINDING_AFTER_MOVE_NANOS)
+                        : bindingAtNanos;
+        return earliestBindingNanos + DRAIN_SLACK_NANOS;
     }
 
     /** Returns whether a call followed a list so soon that it missed no change. */
--- a/node/src/main/java/frostrelay/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/frostrelay/node/discovery/DiscoveryClient.java
@@ -262,7 +262,8 @@
             }
             currentCall = null;
             long now = Clock.now();
-            long retryAtNanos = schedule.onFailure(now, startedAtNanos, call.isConnected());
+            long retryAtNanos =
+                    schedule.onFailure(now, startedAtNanos, waitNanos, call.isConnected());
             if (retryAtNanos != CallSchedule.ANY_TIME) {
                 retryTask =
                         loop.schedule(
--- a/node/src/test/java/frostrelay/node/discovery/CallScheduleTest.java
+++ b/node/src/test/java/frostrelay/node/discovery/CallScheduleTest.java
@@ -24,6 +24,8 @@
     /** Sends end this long after the list: the grace less the margin of the drain. */
     private static final long SENDS_END_AFTER_LIST = SECOND / 4;
 
+    private static final long WAIT = 10 * SECOND;
+
     private static final long DRAIN_GRACE = SECOND / 2;
 
     /** Checks that a call which is queued for the longest time brings its list in time. */
@@ -57,7 +59,7 @@
             schedule.onMoved(8 * SECOND);
             schedule.onMoved(9 * SECOND);
             long now = 8 * SECOND + rejectedAfter;
-            long next = schedule.onFailure(now, 8 * SECOND, true);
+            long next = schedule.onFailure(now, 8 * SECOND, WAIT, true);
             assertEquals(Math.max(now, 8 * SECOND + 5 * SECOND / 4), next);
         }
     }
@@ -68,11 +70,22 @@
         CallSchedule schedule = new CallSchedule(0);
         schedule.onList(40 * SECOND);
         long rejectedAt = 43 * SECOND;
-        long next = schedule.onFailure(rejectedAt, 40 * SECOND, true);
+        long next = schedule.onFailure(rejectedAt, 40 * SECOND, WAIT, true);
         assertInTime(46 * SECOND, next, "a call that was queued all the time");
-        assertEquals(next + QUEUE, schedule.onFailure(next + QUEUE, next, true));
+        assertEquals(next + QUEUE, schedule.onFailure(next + QUEUE, next, WAIT, true));
         long tooLate = next + 2 * QUEUE;
-        assertEquals(ANY_TIME, schedule.onFailure(tooLate, next + QUEUE, true));
+        assertEquals(ANY_TIME, schedule.onFailure(tooLate, next + QUEUE, WAIT, true));
+    }
+
+    /** Guards against a silent watch whose replacement is rejected, and a next call too late. */
+    @Test
+    void aReplacementThatIsRejectedIsRepeatedAtOnce() {
+        CallSchedule schedule = new CallSchedule(0);
+        schedule.onList(40 * SECOND);
+        long replacedAt = 40 * SECOND + CallSchedule.replacedAfterNanos(WAIT);
+        long rejectedAt = replacedAt + QUEUE;
+        assertTrue(rejectedAt < 40 * SECOND + WAIT + 2 * SECOND, "a list can be in time");
+        assertEquals(rejectedAt, schedule.onFailure(rejectedAt, replacedAt, WAIT, true));
     }
 
     /** The other side: a tier that has lost discovery does not call all at once. */
@@ -80,10 +93,14 @@
     void theStaggerOfTheTierDecidesWhileDiscoveryIsDown() {
         CallSchedule schedule = new CallSchedule(0);
         schedule.onList(10 * SECOND);
-        assertEquals(ANY_TIME, schedule.onFailure(20 * SECOND, 10 * SECOND, true), "a lost watch");
-        assertEquals(ANY_TIME, schedule.onFailure(22 * SECOND, 22 * SECOND, false), "refused");
+        assertEquals(
+                ANY_TIME, schedule.onFailure(20 * SECOND, 10 * SECOND, WAIT, true), "a lost watch");
+        assertEquals(
+                ANY_TIME, schedule.onFailure(22 * SECOND, 22 * SECOND, WAIT, false), "refused");
         schedule.onMoved(30 * SECOND);
-        assertTrue(schedule.onFailure(30 * SECOND, 30 * SECOND, false) < 32 * SECOND, "moved");
-        assertEquals(ANY_TIME, schedule.onFailure(35 * SECOND, 35 * SECOND, false), "too late");
+        assertTrue(
+                schedule.onFailure(30 * SECOND, 30 * SECOND, WAIT, false) < 32 * SECOND, "moved");
+        assertEquals(
+                ANY_TIME, schedule.onFailure(35 * SECOND, 35 * SECOND, WAIT, false), "too late");
     }
 }
