Remember a part of a command also behind a pending response

Cause: a partial command was noted only while commands were started and no response was pending, and neither the close after a response during a drain nor the idle timeout asked for it.

Change: it is noted whenever the connection's state changes; both ask for it.

Test first: PartialCommandTest on the code before failed with theRestOfACommandBehindAnotherOneIsServedDuringAShutdown: expected: <VA 1 Osecond> but was: <null> aClientThatStopsWithinACommandBehindAnotherOneIsClosed: read timed out (20 s) and passes now. ConnectionTimeoutsTest gives its times, which the class before did not take, so it was not run on it. BadInputTest, LimitsTest, LateWorkTest pass.

--- a/node/src/main/java/frostrelay/node/client/ClientConnection.java
+++ b/node/src/main/java/frostrelay/node/client/ClientConnection.java
@@ -8,6 +8,7 @@
 import frostrelay.node.net.MemoryAccount;
 import frostrelay.node.net.TrafficMemory;
 import frostrelay.node.proxy.RequestDispatcher;
+import frostrelay.node.time.Clock;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
@@ -257,7 +258,6 @@
             }
             dispatch(next);
         }
-        timeouts.setPartialCommand(pendingResponses.isEmpty() && commands.endsInPartialCommand());
         dispatching = false;
         flushCompletedResponses();
     }
@@ -319,7 +319,7 @@
      * called immediately after a response, when no further request can be in transit.
      */
     private void closeIfRequired() {
-        if ((overCapacity || guard.isDraining()) && isIdle()) {
+        if ((overCapacity || guard.isDraining()) && isIdle() && !commands.endsInPartialCommand()) {
             closeAfterResponses(lifecycle.gracefulCloseReason());
         }
     }
@@ -347,6 +347,7 @@
             shutdownOutput();
         }
         readPauses.update();
+        timeouts.setPartialCommand(Clock.now(), isIdle() && commands.endsInPartialCommand());
         if (isIdle() && !lifecycle.state().isOutputClosing()) {
             markIdle();
         } else if (!commands.isEmpty() && canDispatch()) {
--- a/node/src/main/java/frostrelay/node/client/ConnectionTimeouts.java
+++ b/node/src/main/java/frostrelay/node/client/ConnectionTimeouts.java
@@ -34,7 +34,10 @@
      */
     private long stateSinceNanos = Clock.now();
 
-    /** The time since which a part of a command has been buffered; 0 if there is none. */
+    /** Whether a part of a command has been buffered and no response is pending. */
+    private boolean hasPartialCommand;
+
+    /** The time at which that part was found. */
     private long partialCommandSinceNanos;
 
     long stateSinceNanos() {
@@ -45,16 +48,15 @@
         stateSinceNanos = Clock.now();
     }
 
-    void setPartialCommand(boolean isPartial) {
-        if (!isPartial) {
-            partialCommandSinceNanos = 0;
-        } else if (partialCommandSinceNanos == 0) {
-            partialCommandSinceNanos = Clock.now();
+    void setPartialCommand(long now, boolean isPartial) {
+        if (isPartial && !hasPartialCommand) {
+            partialCommandSinceNanos = now;
         }
+        hasPartialCommand = isPartial;
     }
 
     boolean hasPartialCommand() {
-        return partialCommandSinceNanos != 0;
+        return hasPartialCommand;
     }
 
     /**
@@ -76,11 +78,12 @@
     CloseReason expiredTimeout(long now, boolean hasSentValidCommand) {
         boolean hasCommandTimedOut =
                 !hasSentValidCommand && now - stateSinceNanos > COMMAND_TIMEOUT_NANOS
-                        || hasPartialCommand()
+                        || hasPartialCommand
                                 && now - partialCommandSinceNanos > COMMAND_TIMEOUT_NANOS;
         if (hasCommandTimedOut) {
             return CloseReason.INCOMPLETE_COMMAND;
         }
-        return now - stateSinceNanos > IDLE_TIMEOUT_NANOS ? CloseReason.IDLE : null;
+        boolean isIdle = !hasPartialCommand && now - stateSinceNanos > IDLE_TIMEOUT_NANOS;
+        return isIdle ? CloseReason.IDLE : null;
     }
 }
