Judge a command that arrives in parts by its pace, not by its whole time

Cause: a command had 2.5 s from its first part, however it moved; the same class as the readers that were cut off.

Change: TransferProgress, the rule for readers, judges a writer too: 2.5 s behind 4 KiB a second. A head, a stopped client and a byte a second have 2.5 s as before, and so has the first command of a connection.

Test first: PartialCommandTest.aValueThatArrivesEvenlyIsServedHoweverLongItTakes (40 kB within 4 s) failed on the code before with "Broken pipe", and passes now.

--- a/node/src/main/java/frostrelay/node/client/ClientConnection.java
+++ b/node/src/main/java/frostrelay/node/client/ClientConnection.java
@@ -198,7 +198,8 @@
 
     /** Protects the connection from eviction, because the buffered bytes may be a command. */
     @Override
-    public void onBytesBuffered() {
+    public void onBytesBuffered(int bytes) {
+        timeouts.onBytesRead(Clock.now(), bytes);
         limiter.markBusy(this);
         if (!readAhead.hasCapacity()) {
             readPauses.update();
--- a/node/src/main/java/frostrelay/node/client/ConnectionTimeouts.java
+++ b/node/src/main/java/frostrelay/node/client/ConnectionTimeouts.java
@@ -6,8 +6,8 @@
 /** The timeouts of one client connection on which no request is open. */
 final class ConnectionTimeouts {
     /**
-     * The time within which a first command, or a command that has arrived in part, must be
-     * complete. A slow but correct client may need 2 s.
+     * The time within which a first command must be complete, and by which a later one that has
+     * arrived in part may fall behind the least pace. A slow but correct client may need 2 s.
      */
     private static final long COMMAND_TIMEOUT_NANOS = 2_500 * Clock.NANOS_PER_MILLISECOND;
 
@@ -37,8 +37,8 @@
     /** Whether a part of a command has been buffered and no response is pending. */
     private boolean hasPartialCommand;
 
-    /** The time at which that part was found. */
-    private long partialCommandSinceNanos;
+    /** What the client gives of that command; started when the part is found. */
+    private final TransferProgress commandProgress = new TransferProgress(stateSinceNanos);
 
     long stateSinceNanos() {
         return stateSinceNanos;
@@ -50,7 +50,7 @@
 
     void setPartialCommand(long now, boolean isPartial) {
         if (isPartial && !hasPartialCommand) {
-            partialCommandSinceNanos = now;
+            commandProgress.start(now);
         }
         hasPartialCommand = isPartial;
     }
@@ -59,6 +59,11 @@
         return hasPartialCommand;
     }
 
+    /** Records bytes of commands that have been read. */
+    void onBytesRead(long now, int bytes) {
+        commandProgress.onBytes(now, bytes);
+    }
+
     /**
      * Returns whether the timeout of a connection whose output is being shut down or has been shut
      * down is exceeded.
@@ -79,7 +84,7 @@
         boolean hasCommandTimedOut =
                 !hasSentValidCommand && now - stateSinceNanos > COMMAND_TIMEOUT_NANOS
                         || hasPartialCommand
-                                && now - partialCommandSinceNanos > COMMAND_TIMEOUT_NANOS;
+                                && commandProgress.behindNanos(now) > COMMAND_TIMEOUT_NANOS;
         if (hasCommandTimedOut) {
             return CloseReason.INCOMPLETE_COMMAND;
         }
--- a/node/src/main/java/frostrelay/node/client/ReadAhead.java
+++ b/node/src/main/java/frostrelay/node/client/ReadAhead.java
@@ -65,8 +65,8 @@
 
     /** A listener that is notified of reads. */
     interface Listener {
-        /** Called when bytes are waiting for {@link #feedDecoder}. */
-        void onBytesBuffered();
+        /** Called when so many further bytes are waiting for {@link #feedDecoder}. */
+        void onBytesBuffered(int bytes);
 
         /**
          * Called when all bytes that had arrived have been read, or as many as this event loop
@@ -134,8 +134,9 @@
         unreadSinceNanos = unreadSinceNanos == 0 ? Clock.now() : unreadSinceNanos;
         if (!discarding) {
             recordArrival(bytes.readableBytes());
+            int length = bytes.readableBytes();
             append(bytes);
-            listener.onBytesBuffered();
+            listener.onBytesBuffered(length);
         }
         bytes.release();
     }
--- a/node/src/test/java/frostrelay/node/PartialCommandTest.java
+++ b/node/src/test/java/frostrelay/node/PartialCommandTest.java
@@ -71,4 +71,17 @@
         long closedMillis = (System.nanoTime() - startNanos) / Clock.NANOS_PER_MILLISECOND;
         assertTrue(closedMillis < 3_000, "closed after ms: " + closedMillis);
     }
+
+    /** Guards against a write that is dropped although its client sends it evenly. */
+    @Test
+    void aValueThatArrivesEvenlyIsServedHoweverLongItTakes() throws Exception {
+        int pieces = 40;
+        client.write("ms 1 " + pieces * 1_000 + " Oput Pc=put,t=acme,d=2000,k=1\r\n");
+        for (int i = 0; i < pieces; i++) {
+            Thread.sleep(100);
+            client.write("x".repeat(1_000));
+        }
+        client.write("\r\n");
+        assertEquals("HD Oput c77", client.readLine());
+    }
 }
