Keep the audit record open, and values moving, until the process exits

Cause: with two ends of a shutdown, the first one closed the audit record, though the process acts until the second, and an error of the file system at the end of the registration would have ended the process at once, with the values that still moved.

A failure to end the registration is logged. Found by reading the change; no test shows it.

--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -375,17 +375,21 @@
         ShutdownSequence shutdown =
                 new ShutdownSequence(
                         loop, clientListener, dispatcher, counters, signalledAtNanos, schedule);
-        shutdown.answered().addListener(done -> releaseShared());
-        shutdown.ended().addListener(done -> logCounters());
+        shutdown.answered().addListener(done -> stopListeningForAdministrators());
+        shutdown.ended().addListener(done -> finishShutdown());
         shutdown.start(isReplaced);
         return shutdown;
     }
 
-    /** Gives up the addresses that the next process of this balancer may use. */
-    private void releaseShared() {
-        membership.close();
+    /** Gives the address up, as the next process of this balancer may use it. */
+    private void stopListeningForAdministrators() {
         if (adminServer != null) {
             adminServer.stopListening();
         }
     }
+
+    private void finishShutdown() {
+        logCounters();
+        membership.close();
+    }
 }
--- a/node/src/main/java/frostrelay/node/NodeProcess.java
+++ b/node/src/main/java/frostrelay/node/NodeProcess.java
@@ -15,6 +15,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.Executors;
@@ -195,6 +196,15 @@
                         : configuredPath);
     }
 
+    /** Ends the registration of this process; a failure does not end what it still passes on. */
+    private void closeSharedDirectory() {
+        try {
+            sharedDirectory.close();
+        } catch (IOException e) {
+            Log.write(Event.SHARED_DIRECTORY_FAILED, e.toString());
+        }
+    }
+
     private void stop() {
         long signalledAtNanos = Clock.now();
         try {
@@ -202,7 +212,7 @@
             ShutdownSequence shutdown =
                     loop.submit(() -> node.stop(isReplaced, signalledAtNanos)).get();
             shutdown.answered().await();
-            sharedDirectory.close();
+            closeSharedDirectory();
             shutdown.ended().await();
         } catch (Exception e) {
             Log.write(Event.SHUTDOWN_FAILED, e.toString());
