Read long values ahead as before, also while memory is short

Clients that read nothing (180, three values each) then held just less than that, 6.0 to 6.3 MB by the gauges, did not yield, and kept up to 488 of some 491 connections to caches from others.

Change: the bound of a read ahead is what it was.

--- a/node/src/main/java/frostrelay/node/client/PendingResponse.java
+++ b/node/src/main/java/frostrelay/node/client/PendingResponse.java
@@ -161,17 +161,14 @@
 
     /**
      * Continues to read from the server while the client accepts chunks and there is memory, or if
-     * no byte waits for the client; otherwise pauses reading. Nothing is read ahead while memory is
-     * short, so that values which move slowly do not make it short.
+     * no byte waits for the client; otherwise pauses reading.
      */
     void adjustDemand() {
         if (!streaming || valueStream == null) {
             return;
         }
         boolean mayReadAhead =
-                output.hasCapacity()
-                        && !account.isMemoryShort()
-                        && account.roomBytes() >= ReadSizeLimit.MAX_READ_BYTES;
+                output.hasCapacity() && account.roomBytes() >= ReadSizeLimit.MAX_READ_BYTES;
         boolean isDemanded = output.isEmpty() || mayReadAhead;
         if (isDemanded && !cacheDemanded) {
             cacheProgress.start(Clock.now());
