Close the audit record before a shutdown is reported as ended

Cause: since the shutdown has two ends, the audit record was closed by a listener of the second one's future. A future wakes those that wait for it before it runs its listeners, so the process could exit with the last records unwritten.

Change: ShutdownSequence runs what has to happen before the end, as it did before, and completes the future after it.

--- a/node/src/main/java/frostrelay/node/Node.java
+++ b/node/src/main/java/frostrelay/node/Node.java
@@ -374,9 +374,14 @@
         membership.onShutdown(isReplaced);
         ShutdownSequence shutdown =
                 new ShutdownSequence(
-                        loop, clientListener, dispatcher, counters, signalledAtNanos, schedule);
+                        loop,
+                        clientListener,
+                        dispatcher,
+                        counters,
+                        signalledAtNanos,
+                        schedule,
+                        this::finishShutdown);
         shutdown.answered().addListener(done -> stopListeningForAdministrators());
-        shutdown.ended().addListener(done -> finishShutdown());
         shutdown.start(isReplaced);
         return shutdown;
     }
--- a/node/src/main/java/frostrelay/node/ShutdownSequence.java
+++ b/node/src/main/java/frostrelay/node/ShutdownSequence.java
@@ -32,6 +32,9 @@
     private final long requestedAtNanos;
     private final DrainSchedule schedule;
 
+    /** Runs before {@link #ended} is completed, as the process may exit at once after that. */
+    private final Runnable onEnd;
+
     private final Promise<Void> answered;
     private final Promise<Void> ended;
 
@@ -44,13 +47,15 @@
             RequestDispatcher dispatcher,
             Counters counters,
             long requestedAtNanos,
-            DrainSchedule schedule) {
+            DrainSchedule schedule,
+            Runnable onEnd) {
         this.loop = loop;
         this.clientListener = clientListener;
         this.dispatcher = dispatcher;
         this.counters = counters;
         this.requestedAtNanos = requestedAtNanos;
         this.schedule = schedule;
+        this.onEnd = onEnd;
         this.answered = loop.newPromise();
         this.ended = loop.newPromise();
     }
@@ -101,6 +106,7 @@
             answered.trySuccess(null);
         }
         if (isQuiescent || schedule.mustExit(now, clientListener.leastTransferBehindNanos())) {
+            onEnd.run();
             ended.setSuccess(null);
         } else {
             logProgress();
